--- a/fault/error.go
+++ b/fault/error.go
@@ -71,5 +71,8 @@
 	}
 }
 
-// KindOf returns the kind of err as From would map it.
+// Is reports whether err is an error of the given kind.
+func Is(err error, kind Kind) bool { return err != nil && From(err).Kind == kind }
+
+// KindOf returns the kind of a non-nil err as From would map it.
 func KindOf(err error) Kind { return From(err).Kind }
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+)
+
+const part = "settings"
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Settings, part, "%s", file)
+	}
+	if info.Size() > maxFileBytes {
+		return nil, fault.New(fault.Settings, part, "%s: larger than %d bytes", file, maxFileBytes)
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Settings, part, "%s", file)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks the text of a settings file. file is used in errors only.
+func Parse(file string, data []byte) (*Settings, error) {
+	src := &source{file: file, data: data}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, fault.New(fault.Settings, part, "%s: %v", file, err)
+	}
+	src.root = root
+	if err := src.checkFields(&src.root, reflect.TypeFor[Settings](), ""); err != nil {
+		return nil, err
+	}
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, fault.New(fault.Settings, part, "%s: %v", file, err)
+	}
+	s := Defaults()
+	if err := json.Unmarshal(plain, &s); err != nil {
+		return nil, src.typeError(err)
+	}
+	s.fillSections()
+	if err := s.validate(src); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) fillSections() {
+	if s.Entry != nil && s.Entry.AddressLifetimeSeconds == 0 {
+		s.Entry.AddressLifetimeSeconds = defaultAddressLifetimeSeconds
+	}
+	if s.Replica != nil && s.Replica.CompactEveryEntries == 0 {
+		s.Replica.CompactEveryEntries = defaultCompactEveryEntries
+	}
+}
+
+// source finds the line of a field for errors.
+type source struct {
+	file string
+	data []byte
+	root hujson.Value
+}
+
+func (s *source) line(offset int) int {
+	return 1 + bytes.Count(s.data[:min(offset, len(s.data))], []byte{'\n'})
+}
+
+// fail returns an error for a field given by a JSON pointer such as /entry/listen.
+// A field that the file lacks is reported at the nearest section above it.
+func (s *source) fail(pointer, format string, args ...any) error {
+	at := pointer
+	for {
+		if v := s.root.Find(at); v != nil {
+			return s.errorAt(v.StartOffset, pointer, fmt.Sprintf(format, args...))
+		}
+		at = at[:strings.LastIndexByte(at, '/')]
+	}
+}
+
+func (s *source) errorAt(offset int, pointer, text string) error {
+	field := strings.ReplaceAll(strings.TrimPrefix(pointer, "/"), "/", ".")
+	return fault.New(fault.Settings, part, "%s:%d: %s: %s", s.file, s.line(offset), field, text)
+}
+
+func (s *source) typeError(err error) error {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) {
+		text := fmt.Sprintf("wants %s, not %s", typed.Type, typed.Value)
+		return s.errorAt(int(typed.Offset), "/"+strings.ReplaceAll(typed.Field, ".", "/"), text)
+	}
+	return fault.New(fault.Settings, part, "%s: %v", s.file, err)
+}
+
+// checkFields refuses unknown and repeated fields.
+func (s *source) checkFields(v *hujson.Value, typ reflect.Type, pointer string) error {
+	for typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
+	}
+	switch val := v.Value.(type) {
+	case *hujson.Object:
+		if typ.Kind() == reflect.Struct {
+			return s.checkObject(val, typ, pointer)
+		}
+	case *hujson.Array:
+		if typ.Kind() == reflect.Slice {
+			return s.checkArray(val, typ, pointer)
+		}
+	}
+	return nil
+}
+
+func (s *source) checkObject(obj *hujson.Object, typ reflect.Type, pointer string) error {
+	known := fieldsOf(typ)
+	seen := map[string]bool{}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		lit, _ := m.Name.Value.(hujson.Literal)
+		name := lit.String()
+		at := pointer + "/" + name
+		field, ok := known[name]
+		if !ok {
+			return s.errorAt(m.Name.StartOffset, at, "unknown field")
+		}
+		if seen[name] {
+			return s.errorAt(m.Name.StartOffset, at, "given twice")
+		}
+		seen[name] = true
+		if err := s.checkFields(&m.Value, field, at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *source) checkArray(arr *hujson.Array, typ reflect.Type, pointer string) error {
+	for i := range arr.Elements {
+		at := fmt.Sprintf("%s/%d", pointer, i)
+		if err := s.checkFields(&arr.Elements[i], typ.Elem(), at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fieldsOf(typ reflect.Type) map[string]reflect.Type {
+	out := map[string]reflect.Type{}
+	for f := range typ.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		out[name] = f.Type
+	}
+	return out
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,68 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/settings"
+)
+
+const good = `{
+  // One VM of the co-operative.
+  "cluster": "wigs",
+  "vm": "vm-1",
+  "members": [
+    {"vm": "vm-1", "failure_domain": "a", "address": "127.0.0.1:7001", "replica": true},
+  ],
+  "peers": {"listen": "127.0.0.1:7001", "allow_plaintext": true},
+  "entry": {"listen": "127.0.0.1:8001"},
+  "replica": {"data_folder": "data"},
+  "operator": {"listen": "127.0.0.1:9001"},
+}`
+
+func TestParseGood(t *testing.T) {
+	c := qt.New(t)
+	s, err := settings.Parse("vm.jsonc", []byte(good))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Self().FailureDomain, qt.Equals, "a")
+	c.Assert(s.Replicas(), qt.DeepEquals, []string{"vm-1"})
+	c.Assert(s.Limits.MaxBodyBytes, qt.Equals, int64(8<<20))
+}
+
+func TestParseNamesFileLineAndField(t *testing.T) {
+	tests := []struct{ old, new, want string }{
+		{`"vm": "vm-1",` + "\n", `"vn": "vm-1",` + "\n", `vm.jsonc:4: vn: unknown field`},
+		{`"vm": "vm-1",` + "\n", `"vm": 7,` + "\n", `vm.jsonc:4: vm: wants string, not number`},
+		{`"vm": "vm-1",` + "\n", `"vm": "vm-2",` + "\n", `vm.jsonc:4: vm: "vm-2" is not one of members`},
+		{`"cluster": "wigs",`, ``, `vm.jsonc:1: cluster: must name the cluster`},
+		{`, "allow_plaintext": true`, ``, `vm.jsonc:8: peers: needs tls, or allow_plaintext true`},
+		{`"listen": "127.0.0.1:9001"`, `"listen": "0.0.0.0:9001"`, `vm.jsonc:11: operator.token_file: must be given`},
+		{`"failure_domain": "a"`, `"failure_domain": "a", "zone": "x"`, `vm.jsonc:6: members.0.zone: unknown field`},
+		{`"replica": {"data_folder": "data"},`, ``, `vm.jsonc:1: replica: must be given exactly when`},
+		{`"cluster": "wigs",`, `"cluster": "wigs", "cluster": "x",`, `vm.jsonc:3: cluster: given twice`},
+		{`"data_folder": "data"`, `"data_folder": "data"` + "\n, !", `vm.jsonc: hujson: line 11`},
+	}
+	for _, test := range tests {
+		t.Run(test.want, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := settings.Parse("vm.jsonc", []byte(strings.Replace(good, test.old, test.new, 1)))
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(fault.KindOf(err), qt.Equals, fault.Settings)
+			c.Assert(err.Error(), qt.Contains, test.want)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"members":[{}],"entry":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse("f", data)
+		if err == nil && s.Self().VM == "" {
+			t.Fatal("accepted settings without this VM among the members")
+		}
+	})
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+)
+
+func (s *Settings) validate(src *source) error {
+	checks := []func(*source) error{
+		s.checkNames, s.checkMembers, s.checkPeers, s.checkEntry,
+		s.checkReplica, s.checkOperator, s.checkLimits, s.checkLog,
+	}
+	for _, check := range checks {
+		if err := check(src); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkNames(src *source) error {
+	if s.Cluster == "" {
+		return src.fail("/cluster", "must name the cluster")
+	}
+	if s.VM == "" {
+		return src.fail("/vm", "must name this VM")
+	}
+	if s.Self().VM == "" {
+		return src.fail("/vm", "%q is not one of members", s.VM)
+	}
+	return nil
+}
+
+func (s *Settings) checkMembers(src *source) error {
+	seen := map[string]bool{}
+	replicas := 0
+	for i, m := range s.Members {
+		at := fmt.Sprintf("/members/%d", i)
+		if m.VM == "" {
+			return src.fail(at+"/vm", "must name the VM")
+		}
+		if seen[m.VM] {
+			return src.fail(at+"/vm", "%q is given twice", m.VM)
+		}
+		seen[m.VM] = true
+		if m.FailureDomain == "" {
+			return src.fail(at+"/failure_domain", "must name the failure domain")
+		}
+		if err := checkHostPort(src, at+"/address", m.Address); err != nil {
+			return err
+		}
+		if m.Replica {
+			replicas++
+		}
+	}
+	if replicas == 0 {
+		return src.fail("/members", "at least one VM must have replica true")
+	}
+	return nil
+}
+
+func (s *Settings) checkPeers(src *source) error {
+	if err := checkHostPort(src, "/peers/listen", s.Peers.Listen); err != nil {
+		return err
+	}
+	tls := s.Peers.TLS
+	if tls == nil && !s.Peers.AllowPlaintext {
+		return src.fail("/peers", "needs tls, or allow_plaintext true")
+	}
+	if tls == nil {
+		return nil
+	}
+	if s.Peers.AllowPlaintext {
+		return src.fail("/peers/allow_plaintext", "can't go with tls")
+	}
+	if tls.CertFile == "" || tls.KeyFile == "" || tls.CAFile == "" {
+		return src.fail("/peers/tls", "needs cert_file, key_file and ca_file")
+	}
+	return nil
+}
+
+func (s *Settings) checkEntry(src *source) error {
+	if s.Entry == nil {
+		return nil
+	}
+	if err := checkHostPort(src, "/entry/listen", s.Entry.Listen); err != nil {
+		return err
+	}
+	if s.Entry.AddressLifetimeSeconds < 1 || s.Entry.AddressLifetimeSeconds > 300 {
+		return src.fail("/entry/address_lifetime_seconds", "must be 1 to 300")
+	}
+	if s.Entry.Address == "" {
+		return nil
+	}
+	u, err := url.Parse(s.Entry.Address)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return src.fail("/entry/address", "must be a URL such as http://10.0.0.1:8080")
+	}
+	return nil
+}
+
+func (s *Settings) checkReplica(src *source) error {
+	self := s.Self()
+	if self.Replica != (s.Replica != nil) {
+		return src.fail("/replica", "must be given exactly when members say replica true for %q", s.VM)
+	}
+	if s.Replica == nil {
+		return nil
+	}
+	if s.Replica.DataFolder == "" {
+		return src.fail("/replica/data_folder", "must name a folder on a disk")
+	}
+	if s.Replica.CompactEveryEntries < 100 {
+		return src.fail("/replica/compact_every_entries", "must be at least 100")
+	}
+	return nil
+}
+
+func (s *Settings) checkOperator(src *source) error {
+	if err := checkHostPort(src, "/operator/listen", s.Operator.Listen); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(s.Operator.Listen)
+	ip := net.ParseIP(host)
+	if s.Operator.TokenFile == "" && (ip == nil || !ip.IsLoopback()) {
+		return src.fail("/operator/token_file", "must be given unless operator.listen is a loopback address")
+	}
+	return nil
+}
+
+func (s *Settings) checkLimits(src *source) error {
+	l := s.Limits
+	positive := []struct {
+		field string
+		value int64
+	}{
+		{"/limits/max_body_bytes", l.MaxBodyBytes},
+		{"/limits/max_header_bytes", int64(l.MaxHeaderBytes)},
+		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis)},
+		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis)},
+		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis)},
+		{"/limits/write_timeout_ms", int64(l.WriteTimeoutMillis)},
+		{"/stop/drain_limit_seconds", int64(s.Stop.DrainLimitSeconds)},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return src.fail(p.field, "must be more than 0")
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkLog(src *source) error {
+	if s.Log.Format != "text" && s.Log.Format != "json" {
+		return src.fail("/log/format", "must be text or json")
+	}
+	if s.Log.Level != "info" && s.Log.Level != "debug" {
+		return src.fail("/log/level", "must be info or debug")
+	}
+	return nil
+}
+
+func checkHostPort(src *source, pointer, value string) error {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		return src.fail(pointer, "must be host:port, not %q", value)
+	}
+	return nil
+}
