--- a/settings/load.go
+++ b/settings/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -40,7 +41,7 @@
 	src := &source{file: file, data: data}
 	root, err := hujson.Parse(data)
 	if err != nil {
-		return nil, fault.New(fault.Settings, part, "%s: %v", file, err)
+		return nil, src.syntaxError(err)
 	}
 	src.root = root
 	if err := src.checkFields(&src.root, reflect.TypeFor[Settings](), ""); err != nil {
@@ -48,7 +49,7 @@
 	}
 	plain, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
-		return nil, fault.New(fault.Settings, part, "%s: %v", file, err)
+		return nil, src.syntaxError(err)
 	}
 	s := Defaults()
 	if err := json.Unmarshal(plain, &s); err != nil {
@@ -98,6 +99,19 @@
 	return fault.New(fault.Settings, part, "%s:%d: %s: %s", s.file, s.line(offset), field, text)
 }
 
+// syntaxPlace is how the parser begins its errors.
+var syntaxPlace = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
+
+// syntaxError puts the line where the other errors have it.
+func (s *source) syntaxError(err error) error {
+	text := err.Error()
+	m := syntaxPlace.FindStringSubmatch(text)
+	if m == nil {
+		return fault.New(fault.Settings, part, "%s: %s", s.file, text)
+	}
+	return fault.New(fault.Settings, part, "%s:%s: column %s: %s", s.file, m[1], m[2], text[len(m[0]):])
+}
+
 func (s *source) typeError(err error) error {
 	var typed *json.UnmarshalTypeError
 	if errors.As(err, &typed) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -43,7 +43,16 @@
 		{`"failure_domain": "a"`, `"failure_domain": "a", "zone": "x"`, `vm.jsonc:6: members.0.zone: unknown field`},
 		{`"replica": {"data_folder": "data"},`, ``, `vm.jsonc:1: replica: must be given exactly when`},
 		{`"cluster": "wigs",`, `"cluster": "wigs", "cluster": "x",`, `vm.jsonc:3: cluster: given twice`},
-		{`"data_folder": "data"`, `"data_folder": "data"` + "\n, !", `vm.jsonc: hujson: line 11`},
+		{`"address": "127.0.0.1:7001"`, `"address": "127.0.0.1:0"`, `vm.jsonc:6: members.0.address: port "0" must be 1 to 65535`},
+		{`"address": "127.0.0.1:7001"`, `"address": "0.0.0.0:7001"`, `vm.jsonc:6: members.0.address: 0.0.0.0 can't be dialled`},
+		{`"address": "127.0.0.1:7001"`, `"address": ":7001"`, `vm.jsonc:6: members.0.address: must name a host`},
+		{`"replica": true},`, `"replica": true}, {"vm": "x", "failure_domain": "b", "address": "127.0.0.1:7001"},`,
+			`vm.jsonc:6: members.1.address: 127.0.0.1:7001 is the address of "vm-1" already`},
+		{`"listen": "127.0.0.1:8001"`, `"listen": "127.0.0.1:http"`, `vm.jsonc:9: entry.listen: port "http" must be 0 to 65535`},
+		{`"cluster": "wigs",`, `"cluster": "wigs", "limits": {"body_timeout_ms": 3600001},`, `vm.jsonc:3: limits.body_timeout_ms: must be 1 to 3600000`},
+		{`"cluster": "wigs",`, `"cluster": "wigs", "stop": {"drain_limit_seconds": 0},`, `vm.jsonc:3: stop.drain_limit_seconds: must be 1 to 86400`},
+		{`"allow_plaintext": true`, `"tls": {"cert_file": "c", "ca_file": "a"}`, `vm.jsonc:8: peers.tls.cert_file: stat c: no such file`},
+		{`"data_folder": "data"`, `"data_folder": "data"` + "\n, !", `vm.jsonc:11: column 3: invalid character`},
 	}
 	for _, test := range tests {
 		t.Run(test.want, func(t *testing.T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -34,6 +34,7 @@
 
 func (s *Settings) checkMembers(src *source) error {
 	seen := map[string]bool{}
+	addresses := map[string]string{}
 	replicas := 0
 	for i, m := range s.Members {
 		at := fmt.Sprintf("/members/%d", i)
@@ -47,11 +48,15 @@
 		if m.FailureDomain == "" {
 			return src.fail(at+"/failure_domain", "must name the failure domain")
 		}
-		if err := checkHostPort(src, at+"/address", m.Address); err != nil {
+		if err := checkAddress(src, at+"/address", m.Address); err != nil {
 			return err
 		}
+		if other, taken := addresses[m.Address]; taken {
+			return src.fail(at+"/address", "%s is the address of %q already", m.Address, other)
+		}
+		addresses[m.Address] = m.VM
 		if m.Operator != "" {
-			if err := checkHostPort(src, at+"/operator", m.Operator); err != nil {
+			if err := checkAddress(src, at+"/operator", m.Operator); err != nil {
 				return err
 			}
 		}
@@ -66,7 +71,7 @@
 }
 
 func (s *Settings) checkPeers(src *source) error {
-	if err := checkHostPort(src, "/peers/listen", s.Peers.Listen); err != nil {
+	if err := checkListen(src, "/peers/listen", s.Peers.Listen); err != nil {
 		return err
 	}
 	tls := s.Peers.TLS
@@ -79,17 +84,14 @@
 	if s.Peers.AllowPlaintext {
 		return src.fail("/peers/allow_plaintext", "can't go with tls")
 	}
-	if tls.CertFile == "" || tls.KeyFile == "" || tls.CAFile == "" {
-		return src.fail("/peers/tls", "needs cert_file, key_file and ca_file")
-	}
-	return nil
+	return tls.checkFiles(src)
 }
 
 func (s *Settings) checkEntry(src *source) error {
 	if s.Entry == nil {
 		return nil
 	}
-	if err := checkHostPort(src, "/entry/listen", s.Entry.Listen); err != nil {
+	if err := checkListen(src, "/entry/listen", s.Entry.Listen); err != nil {
 		return err
 	}
 	if s.Entry.AddressLifetimeSeconds < 1 || s.Entry.AddressLifetimeSeconds > 300 {
@@ -123,7 +125,7 @@
 }
 
 func (s *Settings) checkOperator(src *source) error {
-	if err := checkHostPort(src, "/operator/listen", s.Operator.Listen); err != nil {
+	if err := checkListen(src, "/operator/listen", s.Operator.Listen); err != nil {
 		return err
 	}
 	host, _, _ := net.SplitHostPort(s.Operator.Listen)
@@ -136,26 +138,32 @@
 
 func (s *Settings) checkLimits(src *source) error {
 	l := s.Limits
-	positive := []struct {
-		field string
-		value int64
+	ranges := []struct {
+		field              string
+		value, least, most int64
 	}{
-		{"/limits/max_body_bytes", l.MaxBodyBytes},
-		{"/limits/max_header_bytes", int64(l.MaxHeaderBytes)},
-		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis)},
-		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis)},
-		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis)},
-		{"/limits/write_timeout_ms", int64(l.WriteTimeoutMillis)},
-		{"/stop/drain_limit_seconds", int64(s.Stop.DrainLimitSeconds)},
-	}
-	for _, p := range positive {
-		if p.value <= 0 {
-			return src.fail(p.field, "must be more than 0")
+		{"/limits/max_body_bytes", l.MaxBodyBytes, 1 << 10, 1 << 30},
+		{"/limits/max_header_bytes", int64(l.MaxHeaderBytes), 1 << 10, 1 << 20},
+		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis), 1, hourMillis},
+		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis), 1, hourMillis},
+		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis), 1, hourMillis},
+		{"/limits/write_timeout_ms", int64(l.WriteTimeoutMillis), 1, hourMillis},
+		{"/stop/drain_limit_seconds", int64(s.Stop.DrainLimitSeconds), 1, daySeconds},
+	}
+	for _, r := range ranges {
+		if r.value < r.least || r.value > r.most {
+			return src.fail(r.field, "must be %d to %d", r.least, r.most)
 		}
 	}
 	return nil
 }
 
+// Longest times that settings allow.
+const (
+	hourMillis = 3_600_000
+	daySeconds = 86_400
+)
+
 func (s *Settings) checkLog(src *source) error {
 	if s.Log.Format != "text" && s.Log.Format != "json" {
 		return src.fail("/log/format", "must be text or json")
@@ -165,10 +173,3 @@
 	}
 	return nil
 }
-
-func checkHostPort(src *source, pointer, value string) error {
-	if _, _, err := net.SplitHostPort(value); err != nil {
-		return src.fail(pointer, "must be host:port, not %q", value)
-	}
-	return nil
-}
