--- a/settings/examples_test.go
+++ b/settings/examples_test.go
@@ -19,10 +19,10 @@
 	"github.com/wagtaildyke/wagtaildyke/settings"
 )
 
-// installedFolder is where the examples expect key files.
-const installedFolder = "/etc/wagtaildyke/tls"
+// installedFolder is where the examples expect key files and the token.
+const installedFolder = "/etc/wagtaildyke"
 
-// writeKeys makes a self-signed certificate that is also the root.
+// writeKeys makes a token and a self-signed certificate that is also the root.
 func writeKeys(c *qt.C) string {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	c.Assert(err, qt.IsNil)
@@ -32,10 +32,12 @@
 	private, err := x509.MarshalPKCS8PrivateKey(key)
 	c.Assert(err, qt.IsNil)
 	folder := c.TempDir()
+	c.Assert(os.Mkdir(filepath.Join(folder, "tls"), 0o700), qt.IsNil)
+	c.Assert(os.WriteFile(filepath.Join(folder, "operator-token"), []byte("secret"), 0o600), qt.IsNil)
 	for name, block := range map[string]*pem.Block{
-		"vm.pem":     {Type: "CERTIFICATE", Bytes: cert},
-		"ca.pem":     {Type: "CERTIFICATE", Bytes: cert},
-		"vm-key.pem": {Type: "PRIVATE KEY", Bytes: private},
+		"tls/vm.pem":     {Type: "CERTIFICATE", Bytes: cert},
+		"tls/ca.pem":     {Type: "CERTIFICATE", Bytes: cert},
+		"tls/vm-key.pem": {Type: "PRIVATE KEY", Bytes: private},
 	} {
 		c.Assert(os.WriteFile(filepath.Join(folder, name), pem.EncodeToMemory(block), 0o600), qt.IsNil)
 	}
--- a/settings/hosts.go
+++ b/settings/hosts.go
@@ -44,6 +44,18 @@
 	return host, nil
 }
 
+// checkFile wants a file that exists.
+func checkFile(src *source, pointer, file string) error {
+	info, err := os.Stat(file)
+	if err != nil {
+		return src.fail(pointer, "%v", err)
+	}
+	if !info.Mode().IsRegular() {
+		return src.fail(pointer, "%s is not a file", file)
+	}
+	return nil
+}
+
 // checkFiles reads the key files as the daemon will.
 func (t *TLS) checkFiles(src *source) error {
 	for _, f := range []struct{ field, file string }{
@@ -52,12 +64,8 @@
 		if f.file == "" {
 			return src.fail("/peers/tls/"+f.field, "must name a PEM file")
 		}
-		info, err := os.Stat(f.file)
-		if err != nil {
-			return src.fail("/peers/tls/"+f.field, "%v", err)
-		}
-		if !info.Mode().IsRegular() {
-			return src.fail("/peers/tls/"+f.field, "%s is not a file", f.file)
+		if err := checkFile(src, "/peers/tls/"+f.field, f.file); err != nil {
+			return err
 		}
 	}
 	if _, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile); err != nil {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -52,6 +52,7 @@
 		{`"cluster": "wigs",`, `"cluster": "wigs", "limits": {"body_timeout_ms": 3600001},`, `vm.jsonc:3: limits.body_timeout_ms: must be 1 to 3600000`},
 		{`"cluster": "wigs",`, `"cluster": "wigs", "stop": {"drain_limit_seconds": 0},`, `vm.jsonc:3: stop.drain_limit_seconds: must be 1 to 86400`},
 		{`"allow_plaintext": true`, `"tls": {"cert_file": "c", "ca_file": "a"}`, `vm.jsonc:8: peers.tls.cert_file: stat c: no such file`},
+		{`"listen": "127.0.0.1:9001"`, `"listen": "0.0.0.0:9001", "token_file": "none"`, `vm.jsonc:11: operator.token_file: stat none: no such file`},
 		{`"data_folder": "data"`, `"data_folder": "data"` + "\n, !", `vm.jsonc:11: column 3: invalid character`},
 	}
 	for _, test := range tests {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -133,7 +133,10 @@
 	if s.Operator.TokenFile == "" && (ip == nil || !ip.IsLoopback()) {
 		return src.fail("/operator/token_file", "must be given unless operator.listen is a loopback address")
 	}
-	return nil
+	if s.Operator.TokenFile == "" {
+		return nil
+	}
+	return checkFile(src, "/operator/token_file", s.Operator.TokenFile)
 }
 
 func (s *Settings) checkLimits(src *source) error {
