--- a/cmd/wagtaildyke/reporthtml.go
+++ b/cmd/wagtaildyke/reporthtml.go
@@ -209,15 +209,15 @@
 		back = min(max(back, 0), burn.SlotsPerWindow-1)
 		x := plotWidth - step*float64(back+1)
 		y := plotHeight
-		for _, part := range []struct {
+		for _, kind := range []struct {
 			n    uint64
 			fill string
 			name string
 		}{{pt.Within, colourGood, "within"}, {pt.Late, colourLate, "late"}, {pt.Refused, colourBad, "refused"}} {
-			h := plotHeight * float64(part.n) / float64(most)
+			h := plotHeight * float64(kind.n) / float64(most)
 			y -= h
-			title := fmt.Sprintf("%s: %s %d", pt.Start.Format("15:04:05"), part.name, part.n)
-			p.Bars = append(p.Bars, bar{x + 1, y, step - 2, h, part.fill, title})
+			title := fmt.Sprintf("%s: %s %d", pt.Start.Format("15:04:05"), kind.name, kind.n)
+			p.Bars = append(p.Bars, bar{x + 1, y, step - 2, h, kind.fill, title})
 		}
 	}
 	p.Labels = []label{{0, p.H - 4, span(length) + " ago"}, {plotWidth - 30, p.H - 4, "now"}, {0, 10, fmt.Sprintf("most %d", most)}}
