--- a/measure/mixshift_test.go
+++ b/measure/mixshift_test.go
@@ -219,7 +219,7 @@
 	}
 	config := roles.Config{
 		Horizon: phaseLength, ChangeTime: changeTime, StreamTime: 100 * time.Millisecond,
-		MinDwell: 15 * time.Second, MinGainRatio: 1.5, Utilization: 0.9, MaxInFlight: 3,
+		MinDwell: 20 * time.Second, MinGainRatio: 1.1, Utilization: 0.95, MaxInFlight: len(engines) / 4,
 	}
 	for _, c := range roles.Plan(demand, engines, config) {
 		r.change(r.engine(c.Engine), c.To)
