--- a/measure/engine_test.go
+++ b/measure/engine_test.go
@@ -56,7 +56,6 @@
 	busy    bool
 	cached  map[uint64]*list.Element
 	recent  *list.List
-	steps   int
 }
 
 func (e *engine) submit(a *attempt) {
@@ -88,7 +87,6 @@
 	decoding := slices.Clone(e.running)
 	decoding = slices.DeleteFunc(decoding, func(a *attempt) bool { return a.unread > 0 })
 	took := stepBase + time.Duration(len(e.running))*stepStream + time.Duration(read)*stepPrompt
-	e.steps++
 	e.sim.after(time.Duration(float64(took)*e.slow*e.penalty()), func() { e.finish(decoding) })
 }
 
