Make the stand-in's work end with an order, and sharpen two scenarios

Without the wait for leases in_force still passed, since the woken entry got the new table before it served; it is cut off now as well. Without the wait for streams orders still passed, since no order ended a stream.

--- a/standin/completion.go
+++ b/standin/completion.go
@@ -58,7 +58,7 @@
 		return
 	}
 	defer s.leave()
-	run := &completionRun{s: s, w: w, r: r, c: c, id: s.answerID(r), total: c.tokens()}
+	run := &completionRun{s: s, w: w, r: r, c: c, id: s.answerID(r), total: c.tokens(), orders: s.ordersDone()}
 	if run.total == 0 {
 		run.total = defaultTokens
 	}
@@ -84,6 +84,8 @@
 	total   int
 	journal int
 	sent    int
+	// orders is the number of orders that had taken effect at the start.
+	orders int
 }
 
 func (run *completionRun) serve() {
@@ -112,6 +114,7 @@
 			run.s.ended(run.journal, "cancelled")
 			return
 		}
+		run.endIfOrdered()
 		text.WriteString(Token(run.c.text(), i))
 	}
 	run.s.ended(run.journal, "whole")
@@ -146,6 +149,7 @@
 	if f.CutAfterEvents > 0 && run.sent >= f.CutAfterEvents {
 		panic(http.ErrAbortHandler)
 	}
+	run.endIfOrdered()
 	times := 1
 	if f.RepeatEvents {
 		times = 2
@@ -157,6 +161,14 @@
 	return http.NewResponseController(run.w).Flush() == nil
 }
 
+// endIfOrdered cuts the answer when an order has taken effect since it began, as
+// a real engine's work ends with its old model or role.
+func (run *completionRun) endIfOrdered() {
+	if run.s.ordersDone() != run.orders {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func resumeAfter(r *http.Request) int {
 	id := r.Header.Get("Last-Event-ID")
 	n, err := strconv.Atoi(id[strings.LastIndexByte(id, '/')+1:])
--- a/standin/order.go
+++ b/standin/order.go
@@ -67,3 +67,10 @@
 	defer s.mu.Unlock()
 	return append([]orders.Order(nil), s.orders.done...)
 }
+
+// ordersDone returns the number of orders that took effect.
+func (s *Server) ordersDone() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.orders.done)
+}
