--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -185,7 +185,8 @@
 )
 
 // cmdLeader finds the leader from the traffic on the links and sets LEADER to
-// it and FOLLOWER1, FOLLOWER2 and so on to the other VMs.
+// it, LEADERENTRY to its listener, and FOLLOWER1, FOLLOWER2 and so on to the
+// other VMs.
 func cmdLeader(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 0, "leader")
 	c := clusterOf(ts)
@@ -197,6 +198,9 @@
 		return err
 	}))
 	ts.Setenv("LEADER", leader)
+	v, err := c.vm(leader)
+	fail(ts, err)
+	ts.Setenv("LEADERENTRY", "http://"+v.entry)
 	others := slices.DeleteFunc(c.names(), func(name string) bool { return name == leader })
 	for i, name := range others {
 		ts.Setenv(fmt.Sprintf("FOLLOWER%d", i+1), name)
