--- /dev/null
+++ b/root/control/machine/doc.go
@@ -0,0 +1,2 @@
+// Package machine steps the control state: events in, effects out. It is pure: no I/O, no clock, no goroutine.
+package machine
--- /dev/null
+++ b/root/control/view/view.go
@@ -0,0 +1,51 @@
+// Package view holds the immutable picture of control state that traffic reads.
+// The control thread is its only writer.
+package view
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+)
+
+// View is one published picture. It is never changed after publication.
+type View struct {
+	// Term and Seq order views: a later term wins, then a later sequence.
+	Term, Seq uint64
+	Table     table.Table
+	Servers   []fleet.Server
+	VMs       []fleet.VM
+	// LeaseUntil is the local time after which no new work may start.
+	LeaseUntil time.Time
+	// Stopping is set once this process has begun its graceful stop.
+	Stopping bool
+}
+
+// Ready reports whether new work may start at the given time.
+func (v *View) Ready(now time.Time) bool {
+	return v != nil && !v.Stopping && now.Before(v.LeaseUntil)
+}
+
+// Newer reports whether v comes after other.
+func (v *View) Newer(other *View) bool {
+	if other == nil {
+		return true
+	}
+	if v.Term != other.Term {
+		return v.Term > other.Term
+	}
+	return v.Seq > other.Seq
+}
+
+// Store hands views from the control thread to traffic without locks.
+type Store struct {
+	current atomic.Pointer[View]
+}
+
+// Publish makes v the current view. Only the control thread calls it.
+func (s *Store) Publish(v *View) { s.current.Store(v) }
+
+// Load returns the current view, or nil before the first publication.
+func (s *Store) Load() *View { return s.current.Load() }
