--- /dev/null
+++ b/api/codec/snapshot_parts.go
@@ -0,0 +1,187 @@
+package codec
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/api"
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+)
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func fromTable(s table.Snapshot) *api.LogTable {
+	m := &api.LogTable{Version: s.Table.Version, Classes: fromClasses(s.Table.Classes)}
+	for _, r := range s.History {
+		m.History = append(m.History, &api.LogTableRecord{
+			Version: r.Version,
+			Id:      r.ID,
+			Author:  r.Author,
+			AtMs:    r.At,
+			Classes: fromClasses(r.Classes),
+		})
+	}
+	for _, a := range s.Answers {
+		answer := &api.LogTableAnswer{Id: a.ID, Content: a.Content[:], Version: a.Version}
+		if a.Refused {
+			answer.Refusal = &api.LogFault{Kind: a.Kind.String(), Message: a.Message}
+		}
+		m.Answers = append(m.Answers, answer)
+	}
+	return m
+}
+
+func toTable(m *api.LogTable) (table.Snapshot, error) {
+	var out table.Snapshot
+	out.Table = table.Table{Version: m.GetVersion(), Classes: toClasses(m.GetClasses())}
+	for _, r := range m.GetHistory() {
+		out.History = append(out.History, table.Record{
+			Version: r.Version,
+			ID:      r.Id,
+			Author:  r.Author,
+			At:      r.AtMs,
+			Classes: toClasses(r.Classes),
+		})
+	}
+	for _, a := range m.GetAnswers() {
+		answer, err := toTableAnswer(a)
+		if err != nil {
+			return table.Snapshot{}, err
+		}
+		out.Answers = append(out.Answers, answer)
+	}
+	return out, nil
+}
+
+func toTableAnswer(m *api.LogTableAnswer) (*table.Answer, error) {
+	content, err := fixed[[32]byte](m.Content)
+	if err != nil {
+		return nil, err
+	}
+	out := &table.Answer{ID: m.Id, Content: content, Version: m.Version}
+	if m.Refusal == nil {
+		return out, nil
+	}
+	kind, ok := fault.ParseKind(m.Refusal.Kind)
+	if !ok {
+		return nil, corrupt("an unknown error kind")
+	}
+	out.Refused = true
+	out.Kind = kind
+	out.Message = m.Refusal.Message
+	return out, nil
+}
+
+// fromLedger writes the records in order of key, so that equal states encode equally.
+func fromLedger(s ledger.Snapshot) *api.LogLedger {
+	m := &api.LogLedger{
+		Limits:      fromLimits(s.Limits),
+		LastSettled: s.LastSettled,
+		Records:     make([]*api.LogRecord, 0, s.Len()),
+		Dead:        fromIncarnations(s.Dead),
+	}
+	for r := range s.Records() {
+		m.Records = append(m.Records, fromRecord(r))
+	}
+	slices.SortFunc(m.Records, func(a, b *api.LogRecord) int { return bytes.Compare(a.Key, b.Key) })
+	for _, c := range s.Cancels {
+		m.Cancels = append(m.Cancels, &api.LogCancelled{Key: c.Key[:], Attempt: c.Attempt, AtMs: c.At})
+	}
+	return m
+}
+
+func toLedger(m *api.LogLedger) (ledger.Snapshot, error) {
+	out := ledger.Snapshot{
+		Limits:      toLimits(m.GetLimits()),
+		LastSettled: m.GetLastSettled(),
+		Dead:        toIncarnations(m.GetDead()),
+	}
+	for _, r := range m.GetRecords() {
+		record, err := toRecord(r)
+		if err != nil {
+			return ledger.Snapshot{}, err
+		}
+		if !out.AddRecord(record) {
+			return ledger.Snapshot{}, corrupt("the ledger repeats a key")
+		}
+	}
+	for _, c := range m.GetCancels() {
+		key, err := fixed[ledger.KeyDigest](c.Key)
+		if err != nil {
+			return ledger.Snapshot{}, err
+		}
+		out.Cancels = append(out.Cancels, ledger.CancelledAttempt{Key: key, Attempt: c.Attempt, At: c.AtMs})
+	}
+	return out, nil
+}
+
+func fromRecord(r *ledger.Record) *api.LogRecord {
+	return &api.LogRecord{
+		Key:         r.Key[:],
+		Digest:      r.Digest[:],
+		State:       uint32(r.State),
+		Private:     r.Private,
+		Attempt:     r.Attempt,
+		Entry:       r.Entry,
+		Incarnation: r.Incarnation,
+		Answer:      fromAnswer(r.Answer),
+		SettledAtMs: r.SettledAt,
+		Settled:     r.Settled,
+	}
+}
+
+func toRecord(m *api.LogRecord) (*ledger.Record, error) {
+	key, err := fixed[ledger.KeyDigest](m.Key)
+	if err != nil {
+		return nil, err
+	}
+	digest, err := fixed[ledger.Digest](m.Digest)
+	if err != nil {
+		return nil, err
+	}
+	state, err := narrow[ledger.RecordState](m.State)
+	return &ledger.Record{
+		Key:         key,
+		Digest:      digest,
+		State:       state,
+		Private:     m.Private,
+		Attempt:     m.Attempt,
+		Entry:       m.Entry,
+		Incarnation: m.Incarnation,
+		Answer:      toAnswer(m.Answer),
+		SettledAt:   m.SettledAtMs,
+		Settled:     m.Settled,
+	}, err
+}
+
+func fromLimits(l ledger.Limits) *api.LogLimits {
+	return &api.LogLimits{
+		AnswerRetentionMs:   l.AnswerRetention.Milliseconds(),
+		KeyRetentionMs:      l.KeyRetention.Milliseconds(),
+		CancelRetentionMs:   l.CancelRetention.Milliseconds(),
+		MaxKeys:             int64(l.MaxKeys),
+		MaxCancels:          int64(l.MaxCancels),
+		MaxAnswerBytes:      int64(l.MaxAnswerBytes),
+		MaxTotalAnswerBytes: int64(l.MaxTotalAnswerBytes),
+	}
+}
+
+func toLimits(m *api.LogLimits) ledger.Limits {
+	return ledger.Limits{
+		AnswerRetention:     milliseconds(m.GetAnswerRetentionMs()),
+		KeyRetention:        milliseconds(m.GetKeyRetentionMs()),
+		CancelRetention:     milliseconds(m.GetCancelRetentionMs()),
+		MaxKeys:             int(m.GetMaxKeys()),
+		MaxCancels:          int(m.GetMaxCancels()),
+		MaxAnswerBytes:      int(m.GetMaxAnswerBytes()),
+		MaxTotalAnswerBytes: int(m.GetMaxTotalAnswerBytes()),
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/root/control/ledger/records.go
@@ -0,0 +1,69 @@
+package ledger
+
+import "maps"
+
+// shardCount is the number of parts that are copied separately after a snapshot.
+const shardCount = 1 << 10
+
+// records is a map of records by key. A copy shares its shards with the
+// original; whoever writes to a shared shard clones it first. Records
+// themselves are never changed in place.
+type records struct {
+	shards [shardCount]map[KeyDigest]*Record
+	shared [shardCount]bool
+	count  int
+}
+
+func shardOf(k KeyDigest) int {
+	return (int(k[0]) | int(k[1])<<8) % shardCount
+}
+
+func (r *records) get(k KeyDigest) *Record { return r.shards[shardOf(k)][k] }
+
+func (r *records) put(rec *Record) {
+	shard := r.writable(rec.Key)
+	if _, ok := shard[rec.Key]; !ok {
+		r.count++
+	}
+	shard[rec.Key] = rec
+}
+
+func (r *records) remove(k KeyDigest) {
+	if r.get(k) == nil {
+		return
+	}
+	delete(r.writable(k), k)
+	r.count--
+}
+
+func (r *records) writable(k KeyDigest) map[KeyDigest]*Record {
+	i := shardOf(k)
+	switch {
+	case r.shards[i] == nil:
+		r.shards[i] = make(map[KeyDigest]*Record)
+	case r.shared[i]:
+		r.shards[i] = maps.Clone(r.shards[i])
+	}
+	r.shared[i] = false
+	return r.shards[i]
+}
+
+// share returns a copy for reading only.
+func (r *records) share() *records {
+	for i := range r.shared {
+		r.shared[i] = true
+	}
+	out := *r
+	return &out
+}
+
+// all calls yield for each record, in no order.
+func (r *records) all(yield func(*Record) bool) {
+	for _, shard := range r.shards {
+		for _, rec := range shard {
+			if !yield(rec) {
+				return
+			}
+		}
+	}
+}
