--- a/api/codec/snapshot_parts.go
+++ b/api/codec/snapshot_parts.go
@@ -90,8 +90,13 @@
 		m.Records = append(m.Records, fromRecord(r))
 	}
 	slices.SortFunc(m.Records, func(a, b *api.LogRecord) int { return bytes.Compare(a.Key, b.Key) })
-	for _, c := range s.Cancels {
-		m.Cancels = append(m.Cancels, &api.LogCancelled{Key: c.Key[:], Attempt: c.Attempt, AtMs: c.At})
+	for _, c := range s.Closed {
+		m.Closed = append(m.Closed, &api.LogClosedAttempt{
+			Key:     c.Key[:],
+			Attempt: c.Attempt,
+			Outcome: uint32(c.Outcome),
+			AtMs:    c.At,
+		})
 	}
 	return m
 }
@@ -111,16 +116,25 @@
 			return ledger.Snapshot{}, corrupt("the ledger repeats a key")
 		}
 	}
-	for _, c := range m.GetCancels() {
-		key, err := fixed[ledger.KeyDigest](c.Key)
+	for _, c := range m.GetClosed() {
+		closed, err := toClosedAttempt(c)
 		if err != nil {
 			return ledger.Snapshot{}, err
 		}
-		out.Cancels = append(out.Cancels, ledger.CancelledAttempt{Key: key, Attempt: c.Attempt, At: c.AtMs})
+		out.Closed = append(out.Closed, closed)
 	}
 	return out, nil
 }
 
+func toClosedAttempt(m *api.LogClosedAttempt) (ledger.ClosedAttempt, error) {
+	key, err := fixed[ledger.KeyDigest](m.Key)
+	if err != nil {
+		return ledger.ClosedAttempt{}, err
+	}
+	outcome, err := toOutcomeKind(m.Outcome)
+	return ledger.ClosedAttempt{Key: key, Attempt: m.Attempt, Outcome: outcome, At: m.AtMs}, err
+}
+
 func fromRecord(r *ledger.Record) *api.LogRecord {
 	return &api.LogRecord{
 		Key:         r.Key[:],
@@ -164,9 +178,9 @@
 	return &api.LogLimits{
 		AnswerRetentionMs:   l.AnswerRetention.Milliseconds(),
 		KeyRetentionMs:      l.KeyRetention.Milliseconds(),
-		CancelRetentionMs:   l.CancelRetention.Milliseconds(),
+		ClosedRetentionMs:   l.ClosedRetention.Milliseconds(),
 		MaxKeys:             int64(l.MaxKeys),
-		MaxCancels:          int64(l.MaxCancels),
+		MaxClosed:           int64(l.MaxClosed),
 		MaxAnswerBytes:      int64(l.MaxAnswerBytes),
 		MaxTotalAnswerBytes: int64(l.MaxTotalAnswerBytes),
 	}
@@ -176,9 +190,9 @@
 	return ledger.Limits{
 		AnswerRetention:     milliseconds(m.GetAnswerRetentionMs()),
 		KeyRetention:        milliseconds(m.GetKeyRetentionMs()),
-		CancelRetention:     milliseconds(m.GetCancelRetentionMs()),
+		ClosedRetention:     milliseconds(m.GetClosedRetentionMs()),
 		MaxKeys:             int(m.GetMaxKeys()),
-		MaxCancels:          int(m.GetMaxCancels()),
+		MaxClosed:           int(m.GetMaxClosed()),
 		MaxAnswerBytes:      int(m.GetMaxAnswerBytes()),
 		MaxTotalAnswerBytes: int(m.GetMaxTotalAnswerBytes()),
 	}
--- a/api/codec/work.go
+++ b/api/codec/work.go
@@ -96,16 +96,21 @@
 	if m == nil {
 		return nil, nil
 	}
-	kind, err := narrow[ledger.OutcomeKind](m.Kind)
+	kind, err := toOutcomeKind(m.Kind)
 	if err != nil {
 		return nil, err
 	}
-	if !kind.Valid() {
-		return nil, corrupt("an unknown outcome %d", kind)
-	}
 	out := &ledger.Outcome{Kind: kind, Entry: m.Entry, Incarnation: m.Incarnation, Attempt: m.Attempt}
 	if m.Answer != nil {
 		out.Answer = *toAnswer(m.Answer)
 	}
 	return out, nil
 }
+
+func toOutcomeKind(n uint32) (ledger.OutcomeKind, error) {
+	kind, err := narrow[ledger.OutcomeKind](n)
+	if err != nil || !kind.Valid() {
+		return 0, corrupt("an unknown outcome %d", n)
+	}
+	return kind, nil
+}
--- a/root/control/ledger/expire.go
+++ b/root/control/ledger/expire.go
@@ -1,11 +1,11 @@
 package ledger
 
-// Expire drops what is past its retention: answers, settled keys and cancelled
+// Expire drops what is past its retention: answers, settled keys and closed
 // attempts. Open records stay. One call does a bounded amount of work.
 func (l *Ledger) Expire(now int64) {
 	l.dropAnswers(now)
 	l.dropKeys(now)
-	l.dropCancels(now)
+	l.dropClosed(now)
 }
 
 // dropAnswers counts only answers that it drops: a restored ledger, whose queue
@@ -65,11 +65,11 @@
 	return rec
 }
 
-func (l *Ledger) dropCancels(now int64) {
+func (l *Ledger) dropClosed(now int64) {
 	for range maxForgetsPerCall {
-		if len(l.cancels) == 0 || !expired(l.cancels[0].At, now, l.limits.CancelRetention) {
+		if len(l.closed) == 0 || !expired(l.closed[0].At, now, l.limits.ClosedRetention) {
 			return
 		}
-		l.forgetCancel()
+		l.forgetClosed()
 	}
 }
--- a/root/control/ledger/ledger.go
+++ b/root/control/ledger/ledger.go
@@ -16,9 +16,9 @@
 	answersDropped int
 	lastSettled    uint64
 	answerBytes    int
-	// cancels is in order of time.
-	cancels     []CancelledAttempt
-	isCancelled map[attemptID]bool
+	// closed is in order of time; closedOutcome holds the same attempts.
+	closed        []ClosedAttempt
+	closedOutcome map[attemptID]OutcomeKind
 	// open holds the keys of open records by entry.
 	open map[string]map[KeyDigest]bool
 	// dead holds the newest dead incarnation per entry.
@@ -31,10 +31,10 @@
 		return nil, err
 	}
 	return &Ledger{
-		limits:      limits,
-		isCancelled: make(map[attemptID]bool),
-		open:        make(map[string]map[KeyDigest]bool),
-		dead:        make(map[string]uint64),
+		limits:        limits,
+		closedOutcome: make(map[attemptID]OutcomeKind),
+		open:          make(map[string]map[KeyDigest]bool),
+		dead:          make(map[string]uint64),
 	}, nil
 }
 
@@ -53,8 +53,8 @@
 		return Outcome{}, err
 	}
 	key := b.Key.Digest()
-	if l.isCancelled[attemptID{key, b.Attempt}] {
-		return Outcome{Kind: NotRun}, nil
+	if closed, ok := l.closedOutcome[attemptID{key, b.Attempt}]; ok {
+		return Outcome{Kind: closed}, nil
 	}
 	rec := l.records.get(key)
 	if rec != nil && rec.State != Cancelled {
--- a/root/control/ledger/limits.go
+++ b/root/control/ledger/limits.go
@@ -13,12 +13,12 @@
 	AnswerRetention time.Duration
 	// KeyRetention is how long a key is kept after its work was settled.
 	KeyRetention time.Duration
-	// CancelRetention is how long a cancelled attempt is remembered.
-	CancelRetention time.Duration
+	// ClosedRetention is how long a closed attempt is remembered.
+	ClosedRetention time.Duration
 	// MaxKeys bounds the keys kept, open ones included.
 	MaxKeys int
-	// MaxCancels bounds the cancelled attempts remembered.
-	MaxCancels int
+	// MaxClosed bounds the closed attempts remembered.
+	MaxClosed int
 	// MaxAnswerBytes bounds the body of one recorded answer.
 	MaxAnswerBytes int
 	// MaxTotalAnswerBytes bounds the bodies of all recorded answers.
@@ -30,9 +30,9 @@
 	return Limits{
 		AnswerRetention:     time.Hour,
 		KeyRetention:        24 * time.Hour,
-		CancelRetention:     2 * time.Minute,
-		MaxKeys:             1 << 19,
-		MaxCancels:          1 << 15,
+		ClosedRetention:     2 * time.Minute,
+		MaxKeys:             1 << 18,
+		MaxClosed:           1 << 15,
 		MaxAnswerBytes:      128 << 10,
 		MaxTotalAnswerBytes: 32 << 20,
 	}
@@ -49,7 +49,7 @@
 
 func (l Limits) check() error {
 	ok := l.AnswerRetention > 0 && l.KeyRetention >= l.AnswerRetention &&
-		l.CancelRetention > 0 && l.MaxKeys > 0 && l.MaxCancels > 0 &&
+		l.ClosedRetention > 0 && l.MaxKeys > 0 && l.MaxClosed > 0 &&
 		l.MaxAnswerBytes > 0 && l.MaxTotalAnswerBytes >= l.MaxAnswerBytes
 	if !ok {
 		return fault.New(fault.Invalid, part, "the limits contradict each other")
--- a/root/control/ledger/record.go
+++ b/root/control/ledger/record.go
@@ -36,11 +36,14 @@
 	Settled uint64
 }
 
-// CancelledAttempt is a remembered attempt that must not start.
-type CancelledAttempt struct {
+// ClosedAttempt is a remembered attempt that must not start any more: one that
+// was cancelled, or one of a private key that was settled.
+type ClosedAttempt struct {
 	Key     KeyDigest
 	Attempt string
-	// At is when it was cancelled, Unix milliseconds.
+	// Outcome is NotRun, Unreplayable or Unknown.
+	Outcome OutcomeKind
+	// At is when it was closed, Unix milliseconds.
 	At int64
 }
 
@@ -50,7 +53,7 @@
 	attempt string
 }
 
-func (c CancelledAttempt) id() attemptID { return attemptID{c.Key, c.Attempt} }
+func (c ClosedAttempt) id() attemptID { return attemptID{c.Key, c.Attempt} }
 
 // settlement is one entry of the expiry queue. It is stale when the record has
 // been settled again since.
@@ -59,3 +62,15 @@
 	settled uint64
 	at      int64
 }
+
+// outcome returns how a closed attempt in this state is answered.
+func (s RecordState) outcome() OutcomeKind {
+	switch s {
+	case Finished:
+		return Unreplayable
+	case Cancelled:
+		return NotRun
+	default:
+		return Unknown
+	}
+}
--- a/root/control/ledger/settle.go
+++ b/root/control/ledger/settle.go
@@ -58,21 +58,32 @@
 		return Outcome{}, err
 	}
 	key := c.Key.Digest()
+	if closed, ok := l.closedOutcome[attemptID{key, c.Attempt}]; ok {
+		return cancelAgain(closed)
+	}
 	rec := l.records.get(key)
 	if rec != nil && rec.Attempt == c.Attempt {
 		switch rec.State {
 		case Finished:
-			return Outcome{}, fault.New(fault.Conflict, part, "the attempt has finished").WithRan(fault.RanYes)
+			return cancelAgain(Unreplayable)
 		case Lost:
 			return Outcome{Kind: Unknown}, nil
 		case Open:
 			l.settle(rec, Cancelled, nil, now)
 		}
 	}
-	l.rememberCancel(CancelledAttempt{Key: key, Attempt: c.Attempt, At: now})
+	l.close(ClosedAttempt{Key: key, Attempt: c.Attempt, Outcome: NotRun, At: now})
 	return Outcome{Kind: NotRun}, nil
 }
 
+// cancelAgain answers a Cancel of an attempt that is settled already.
+func cancelAgain(settled OutcomeKind) (Outcome, *fault.Error) {
+	if settled == Unreplayable {
+		return Outcome{}, fault.New(fault.Conflict, part, "the attempt has finished").WithRan(fault.RanYes)
+	}
+	return Outcome{Kind: settled}, nil
+}
+
 // Abandon turns every open record of the dead processes into an unknown
 // outcome, for ever, and returns how many there were.
 func (l *Ledger) Abandon(a Abandon, now int64) (int, *fault.Error) {
@@ -110,7 +121,7 @@
 	l.clearOpen(rec.Entry, rec.Key)
 	if rec.Private {
 		l.records.remove(rec.Key)
-		l.rememberCancel(CancelledAttempt{Key: rec.Key, Attempt: rec.Attempt, At: now})
+		l.close(ClosedAttempt{Key: rec.Key, Attempt: rec.Attempt, Outcome: state.outcome(), At: now})
 		return
 	}
 	l.lastSettled++
@@ -130,21 +141,21 @@
 	l.settled = append(l.settled, settlement{key: rec.Key, settled: l.lastSettled, at: now})
 }
 
-// rememberCancel keeps a cancelled attempt. The oldest one makes room when the
-// bound is reached: this can leave a late Begin open, which its entry cancels
+// close remembers an attempt that must not start. The oldest one makes room when
+// the bound is reached: this can leave a late Begin open, which its entry cancels
 // again, but lets nothing run twice.
-func (l *Ledger) rememberCancel(c CancelledAttempt) {
-	if l.isCancelled[c.id()] {
+func (l *Ledger) close(c ClosedAttempt) {
+	if _, ok := l.closedOutcome[c.id()]; ok {
 		return
 	}
-	if len(l.cancels) >= l.limits.MaxCancels {
-		l.forgetCancel()
+	if len(l.closed) >= l.limits.MaxClosed {
+		l.forgetClosed()
 	}
-	l.cancels = append(l.cancels, c)
-	l.isCancelled[c.id()] = true
+	l.closed = append(l.closed, c)
+	l.closedOutcome[c.id()] = c.Outcome
 }
 
-func (l *Ledger) forgetCancel() {
-	delete(l.isCancelled, l.cancels[0].id())
-	l.cancels = l.cancels[1:]
+func (l *Ledger) forgetClosed() {
+	delete(l.closedOutcome, l.closed[0].id())
+	l.closed = l.closed[1:]
 }
--- a/root/control/ledger/snapshot.go
+++ b/root/control/ledger/snapshot.go
@@ -13,8 +13,8 @@
 type Snapshot struct {
 	Limits      Limits
 	LastSettled uint64
-	// Cancels is in order of time.
-	Cancels []CancelledAttempt
+	// Closed is in order of time.
+	Closed []ClosedAttempt
 	// Dead holds the newest dead incarnation per entry.
 	Dead    map[string]uint64
 	records *records
@@ -55,7 +55,7 @@
 	return Snapshot{
 		Limits:      l.limits,
 		LastSettled: l.lastSettled,
-		Cancels:     l.cancels[:len(l.cancels):len(l.cancels)],
+		Closed:      l.closed[:len(l.closed):len(l.closed)],
 		Dead:        maps.Clone(l.dead),
 		records:     l.records.share(),
 	}
@@ -68,17 +68,17 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Corrupt, part, "the limits of the snapshot are not valid")
 	}
-	if snap.Len() > snap.Limits.MaxKeys || len(snap.Cancels) > snap.Limits.MaxCancels || len(snap.Dead) > maxDead {
+	if snap.Len() > snap.Limits.MaxKeys || len(snap.Closed) > snap.Limits.MaxClosed || len(snap.Dead) > maxDead {
 		return nil, fault.New(fault.Corrupt, part, "the snapshot is larger than its bounds")
 	}
 	l.lastSettled = snap.LastSettled
 	maps.Copy(l.dead, snap.Dead)
-	for _, c := range snap.Cancels {
-		l.cancels = append(l.cancels, c)
-		l.isCancelled[c.id()] = true
+	for _, c := range snap.Closed {
+		l.closed = append(l.closed, c)
+		l.closedOutcome[c.id()] = c.Outcome
 	}
-	if len(l.isCancelled) != len(l.cancels) {
-		return nil, fault.New(fault.Corrupt, part, "the snapshot repeats a cancelled attempt")
+	if len(l.closedOutcome) != len(l.closed) {
+		return nil, fault.New(fault.Corrupt, part, "the snapshot repeats a closed attempt")
 	}
 	if err := l.restoreRecords(snap); err != nil {
 		return nil, err
--- a/root/control/replicated/world_ledger_test.go
+++ b/root/control/replicated/world_ledger_test.go
@@ -66,6 +66,10 @@
 	w.work.attempts = append(w.work.attempts, a)
 	b := ledger.Begin{Key: a.key, Attempt: a.id, Entry: vm, Incarnation: a.incarnation}
 	b.Digest = ledger.DigestOf([]byte(a.key.ID))
+	if s.a%16 == 2 {
+		a.key.ID = "private " + a.id
+		b.Key, b.Private = a.key, true
+	}
 	if s.a%16 == 1 {
 		b.Digest = ledger.DigestOf([]byte("another request"))
 	}
--- /dev/null
+++ b/root/control/table/table_test.go
@@ -0,0 +1,104 @@
+package table_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+)
+
+const (
+	header  = "class,weight,place,concurrency,rate_per_second,queue,tokens,deadline_ms,targets,idempotent\n"
+	goodRow = "summaries,3,1,8,2.5,16,40000,60000,assistant archive,yes\n"
+)
+
+// none is the absence of an error.
+var none *fault.Error
+
+func TestParseCSVNamesEachBadCell(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name, in string
+		want     []string
+	}{
+		{"no header", "", []string{"row 1: the header is missing"}},
+		{"missing column", strings.Replace(header, ",queue", "", 1), []string{"row 1, column queue: the column is missing"}},
+		{"unknown column", strings.Replace(header, "class", "klass", 1), []string{`column "klass": the table has no such column`, "column class"}},
+		{"column twice", strings.Replace(header, "queue", "tokens", 1), []string{"column tokens: the column stands twice"}},
+		{"no class", header, []string{"row 2, column class: the table needs at least one class"}},
+		{"bad numbers", header + "a,x,1,0,NaN,-1,0,0,m,maybe\n", []string{
+			`row 2, column weight: "x" is not a whole number`, "row 2, column concurrency: 0",
+			"row 2, column rate_per_second: NaN", "row 2, column queue: -1",
+			"row 2, column deadline_ms: 0s", `row 2, column idempotent: "maybe"`,
+		}},
+		{"later row", header + goodRow + "b,1,1,1,1,1,1,99999999999,m,no\n", []string{"row 3, column deadline_ms"}},
+		{"class twice", header + goodRow + goodRow, []string{`row 3, column class: "summaries" is already in row 2`}},
+		{"short row", header + "a,1\n", []string{"row 2, column place: the cell is missing"}},
+		{"long row", header + strings.Replace(goodRow, "yes", "yes,1", 1), []string{"row 2, column 11: the cell has no column"}},
+		{"target twice", header + strings.Replace(goodRow, "archive", "assistant", 1), []string{`column targets: "assistant" stands twice`}},
+		{"many", header + strings.Repeat(",0,-1,0,0,-1,-1,0,,x\n", 3), []string{"and 20 more"}},
+		{"not CSV", header + "\"a\n", []string{"not CSV"}},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			classes, err := table.ParseCSV(strings.NewReader(test.in))
+			c.Assert(classes, qt.IsNil)
+			c.Assert(fault.KindOf(err), qt.Equals, fault.Invalid)
+			for _, want := range test.want {
+				c.Check(err.Error(), qt.Contains, want)
+			}
+		})
+	}
+}
+
+func TestParseCSVRefusesALargeTableWhole(t *testing.T) {
+	c := qt.New(t)
+	full := header + strings.Repeat("\n", table.MaxCSVBytes-len(header)-len(goodRow)) + goodRow
+	_, err := table.ParseCSV(strings.NewReader(full))
+	c.Assert(err, qt.IsNil)
+	_, err = table.ParseCSV(strings.NewReader(full + goodRow))
+	c.Assert(fault.KindOf(err), qt.Equals, fault.TooLarge)
+}
+
+func FuzzParseCSV(f *testing.F) {
+	f.Add([]byte(header + goodRow))
+	f.Add([]byte("\ufeff" + strings.Replace(header, "class,weight", "weight,class", 1) + "2,b,0,1,1e3,0,0,1,m:7b,no\n"))
+	f.Add([]byte(header + "\"a\"\"b\",1,1,1,1,1,1,1,m,no\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		c := qt.New(t)
+		classes, err := table.ParseCSV(bytes.NewReader(in))
+		if err != nil {
+			c.Assert(classes, qt.IsNil)
+			c.Assert(len(err.Error()) < 8<<10, qt.IsTrue)
+			return
+		}
+		var out bytes.Buffer
+		c.Assert(table.Validate(classes), qt.IsNil)
+		c.Assert(table.WriteCSV(&out, classes), qt.IsNil)
+		again, err := table.ParseCSV(&out)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.DeepEquals, classes)
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	classes, err := table.ParseCSV(strings.NewReader(header + goodRow))
+	c.Assert(err, qt.IsNil)
+	var s table.State
+	first := table.Change{ID: "id-0", Classes: classes}
+	for i := range table.MaxAnswers {
+		change := table.Change{ID: fmt.Sprintf("id-%d", i), Base: uint64(i), Classes: classes}
+		c.Assert(s.Apply(change).Err, qt.Equals, none)
+	}
+	c.Assert(s.Apply(first).Version, qt.Equals, uint64(1))
+	c.Assert(s.Apply(table.Change{ID: "last", Base: table.MaxAnswers, Classes: classes}).Err, qt.Equals, none)
+	c.Assert(s.History(), qt.HasLen, table.MaxHistory)
+	late := s.Apply(first)
+	c.Assert(late.Err.Kind, qt.Equals, fault.Conflict)
+	c.Assert(late.Version, qt.Equals, s.Table().Version)
+}
