--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -1,8 +1,11 @@
 package codec
 
 import (
+	"slices"
+
 	"github.com/wagtaildyke/wagtaildyke/api"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 )
 
@@ -24,7 +27,38 @@
 		f := s.Fencing[id]
 		m.Fencing = append(m.Fencing, &api.LogSetFencing{Server: id, Checks: f.Checks, By: f.By, AtMs: f.At})
 	}
-	return marshal(m, MaxSnapshotBytes)
+	data, err := marshal(m, MaxSnapshotBytes)
+	if err != nil {
+		return nil, err
+	}
+	return appendRecords(data, s.Ledger)
+}
+
+const (
+	// recordsPerChunk bounds the records that are converted at once.
+	recordsPerChunk = 1024
+	// recordBytes is the room made for one record, in bytes.
+	recordBytes = 320
+)
+
+// appendRecords appends the records of the ledger in chunks. A decoder joins
+// them: protobuf merges a message that comes in several parts.
+func appendRecords(data []byte, s ledger.Snapshot) ([]byte, error) {
+	data = slices.Grow(data, s.Len()*recordBytes)
+	chunk := new(api.LogLedger)
+	m := &api.LogSnapshot{Ledger: chunk}
+	var err error
+	for r := range s.Records() {
+		chunk.Records = append(chunk.Records, fromRecord(r))
+		if len(chunk.Records) < recordsPerChunk {
+			continue
+		}
+		if data, err = marshalAppend(data, m, MaxSnapshotBytes); err != nil {
+			return nil, err
+		}
+		chunk.Records = chunk.Records[:0]
+	}
+	return marshalAppend(data, m, MaxSnapshotBytes)
 }
 
 // DecodeSnapshot decodes the whole replicated state. The error is of kind
--- a/api/codec/snapshot_parts.go
+++ b/api/codec/snapshot_parts.go
@@ -1,7 +1,6 @@
 package codec
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -78,18 +77,13 @@
 	return out, nil
 }
 
-// fromLedger writes the records in order of key, so that equal states encode equally.
+// fromLedger converts a ledger without its records.
 func fromLedger(s ledger.Snapshot) *api.LogLedger {
 	m := &api.LogLedger{
 		Limits:      fromLimits(s.Limits),
 		LastSettled: s.LastSettled,
-		Records:     make([]*api.LogRecord, 0, s.Len()),
 		Dead:        fromIncarnations(s.Dead),
 	}
-	for r := range s.Records() {
-		m.Records = append(m.Records, fromRecord(r))
-	}
-	slices.SortFunc(m.Records, func(a, b *api.LogRecord) int { return bytes.Compare(a.Key, b.Key) })
 	for _, c := range s.Closed {
 		m.Closed = append(m.Closed, &api.LogClosedAttempt{
 			Key:     c.Key[:],
--- a/api/codec/wire.go
+++ b/api/codec/wire.go
@@ -24,7 +24,12 @@
 
 // marshal encodes a message within a bound.
 func marshal(m proto.Message, most int) ([]byte, error) {
-	data, err := marshalOptions.Marshal(m)
+	return marshalAppend(nil, m, most)
+}
+
+// marshalAppend appends an encoded message; the bound is on the whole.
+func marshalAppend(data []byte, m proto.Message, most int) ([]byte, error) {
+	data, err := marshalOptions.MarshalAppend(data, m)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, part, "can't encode")
 	}
--- a/root/control/ledger/limits.go
+++ b/root/control/ledger/limits.go
@@ -31,7 +31,7 @@
 		AnswerRetention:     time.Hour,
 		KeyRetention:        24 * time.Hour,
 		ClosedRetention:     2 * time.Minute,
-		MaxKeys:             1 << 18,
+		MaxKeys:             1 << 17,
 		MaxClosed:           1 << 15,
 		MaxAnswerBytes:      128 << 10,
 		MaxTotalAnswerBytes: 32 << 20,
--- a/root/control/ledger/records.go
+++ b/root/control/ledger/records.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "maps"
+import (
+	"bytes"
+	"maps"
+	"slices"
+)
 
 // shardCount is the number of parts that are copied separately after a snapshot.
 const shardCount = 1 << 10
@@ -57,13 +61,19 @@
 	return &out
 }
 
-// all calls yield for each record, in no order.
+// all calls yield for each record. The order depends on the keys only.
 func (r *records) all(yield func(*Record) bool) {
 	for _, shard := range r.shards {
-		for _, rec := range shard {
+		for _, rec := range sortedByKey(shard) {
 			if !yield(rec) {
 				return
 			}
 		}
 	}
 }
+
+func sortedByKey(shard map[KeyDigest]*Record) []*Record {
+	return slices.SortedFunc(maps.Values(shard), func(a, b *Record) int {
+		return bytes.Compare(a.Key[:], b.Key[:])
+	})
+}
--- a/root/control/ledger/snapshot.go
+++ b/root/control/ledger/snapshot.go
@@ -28,7 +28,7 @@
 	return s.records.count
 }
 
-// Records yields every record once, in no order.
+// Records yields every record once. The order depends on the keys only.
 func (s Snapshot) Records() iter.Seq[*Record] {
 	return func(yield func(*Record) bool) {
 		if s.records != nil {
--- /dev/null
+++ b/root/control/replicated/bench_test.go
@@ -0,0 +1,111 @@
+package replicated_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/wagtaildyke/wagtaildyke/api/codec"
+	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+)
+
+// doWork applies one Begin and one Finish of a new key.
+func doWork(s *replicated.State, n int, body []byte) {
+	b := ledger.Begin{Key: ledger.Key{Caller: "caller", ID: fmt.Sprintf("key-%032d", n)}, Attempt: fmt.Sprintf("%026d", n)}
+	b.Entry, b.Incarnation = "vm-1", 1
+	s.Apply(s.Index()+1, replicated.BeginWork{Begin: b})
+	f := ledger.Finish{Key: b.Key, Attempt: b.Attempt, Answer: ledger.Answer{Status: 200, Body: body}}
+	s.Apply(s.Index()+1, replicated.FinishWork{Finish: f})
+}
+
+// benchBodyBytes is the size of an answer, so that 100k of them stay in bounds.
+const benchBodyBytes = 200
+
+func stateOf(records int) *replicated.State {
+	limits := ledger.DefaultLimits()
+	limits.MaxKeys = 1 << 30
+	s, _ := replicated.NewWithLimits(limits)
+	for i := range records {
+		doWork(s, i, make([]byte, benchBodyBytes))
+	}
+	return s
+}
+
+func BenchmarkBeginAndFinish(b *testing.B) {
+	for _, records := range []int{1_000, 100_000} {
+		b.Run(fmt.Sprint(records), func(b *testing.B) {
+			s := stateOf(records)
+			body := make([]byte, benchBodyBytes)
+			n := records
+			b.ReportAllocs()
+			for b.Loop() {
+				doWork(s, n, body)
+				n++
+			}
+		})
+	}
+}
+
+// BenchmarkWorkAfterSnapshot gives what the copying after a snapshot adds.
+func BenchmarkWorkAfterSnapshot(b *testing.B) {
+	const records, pairs = 100_000, 1_000
+	s := stateOf(records)
+	n := records
+	for b.Loop() {
+		s.Snapshot()
+		for range pairs {
+			doWork(s, n, nil)
+			n++
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n-records), "ns/pair")
+}
+
+// BenchmarkRecordMemory gives the heap per record without its answer.
+func BenchmarkRecordMemory(b *testing.B) {
+	const records = 100_000
+	for b.Loop() {
+		before := heapBytes()
+		limits := ledger.DefaultLimits()
+		s, _ := replicated.NewWithLimits(limits)
+		for i := range records {
+			doWork(s, i, nil)
+		}
+		b.ReportMetric(float64(heapBytes()-before)/records, "B/record")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	const records = 100_000
+	s := stateOf(records)
+	data, err := codec.EncodeSnapshot(s.Snapshot())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("take", func(b *testing.B) {
+		for b.Loop() {
+			s.Snapshot()
+		}
+	})
+	b.Run("encode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = codec.EncodeSnapshot(s.Snapshot())
+		}
+		b.ReportMetric(float64(len(data))/records, "bytes/record")
+	})
+	b.Run("decode and restore", func(b *testing.B) {
+		for b.Loop() {
+			snap, _ := codec.DecodeSnapshot(data)
+			_, _ = replicated.Restore(snap)
+		}
+	})
+}
