--- a/root/control/ledger/ledger.go
+++ b/root/control/ledger/ledger.go
@@ -53,20 +53,26 @@
 		return Outcome{}, err
 	}
 	key := b.Key.Digest()
-	if closed, ok := l.closedOutcome[attemptID{key, b.Attempt}]; ok {
+	rec := l.records.get(key)
+	closed, isClosed := l.closedOutcome[attemptID{key, b.Attempt}]
+	if isClosed && closed != InProgress {
 		return Outcome{Kind: closed}, nil
 	}
-	rec := l.records.get(key)
 	if rec != nil && rec.State != Cancelled {
 		return l.beginAgain(rec, b, now), nil
 	}
+	if isClosed {
+		return Outcome{Kind: InProgress}, nil
+	}
 	if rec != nil && rec.Digest != b.Digest {
 		return Outcome{Kind: KeyReused}, nil
 	}
 	return l.start(key, b, now)
 }
 
-// beginAgain answers a Begin for a key whose work has an attempt already.
+// beginAgain answers a Begin for a key whose work has an attempt already. An
+// attempt that finds another one open is closed: its entry has given up by the
+// time when a repeated delivery of the Begin would start it.
 func (l *Ledger) beginAgain(rec *Record, b Begin, now int64) Outcome {
 	if rec.Digest != b.Digest {
 		return Outcome{Kind: KeyReused}
@@ -74,6 +80,9 @@
 	if rec.State == Open && rec.Attempt == b.Attempt {
 		return Outcome{Kind: Started}
 	}
+	if rec.State == Open {
+		l.close(ClosedAttempt{Key: rec.Key, Attempt: b.Attempt, Outcome: InProgress, At: now})
+	}
 	return l.outcomeOf(rec, now)
 }
 
--- a/root/control/ledger/outcome.go
+++ b/root/control/ledger/outcome.go
@@ -39,7 +39,8 @@
 	Kind OutcomeKind
 	// Answer is set for Recorded. Its body must not be changed.
 	Answer Answer
-	// Entry, Incarnation and Attempt name the open attempt for InProgress.
+	// Entry, Incarnation and Attempt name the open attempt for InProgress; they
+	// are empty when it has ended since.
 	Entry       string
 	Incarnation uint64
 	Attempt     string
@@ -54,7 +55,7 @@
 	case Unreplayable:
 		return fault.New(fault.OutcomeUnknown, part, "the work ran; its answer is not kept").WithRan(fault.RanYes)
 	case InProgress:
-		return fault.New(fault.InProgress, part, "another attempt is in progress at %s", o.Entry)
+		return fault.New(fault.InProgress, part, "another attempt is in progress")
 	case Unknown:
 		return fault.New(fault.OutcomeUnknown, part, "an earlier attempt may have run")
 	case NotRun:
--- a/root/control/ledger/record.go
+++ b/root/control/ledger/record.go
@@ -37,11 +37,12 @@
 }
 
 // ClosedAttempt is a remembered attempt that must not start any more: one that
-// was cancelled, or one of a private key that was settled.
+// was cancelled, one that found another attempt open, or one of a private key
+// that was settled.
 type ClosedAttempt struct {
 	Key     KeyDigest
 	Attempt string
-	// Outcome is NotRun, Unreplayable or Unknown.
+	// Outcome is NotRun, InProgress, Unreplayable or Unknown.
 	Outcome OutcomeKind
 	// At is when it was closed, Unix milliseconds.
 	At int64
--- a/root/control/ledger/settle.go
+++ b/root/control/ledger/settle.go
@@ -78,7 +78,10 @@
 
 // cancelAgain answers a Cancel of an attempt that is settled already.
 func cancelAgain(settled OutcomeKind) (Outcome, *fault.Error) {
-	if settled == Unreplayable {
+	switch settled {
+	case InProgress:
+		return Outcome{Kind: NotRun}, nil
+	case Unreplayable:
 		return Outcome{}, fault.New(fault.Conflict, part, "the attempt has finished").WithRan(fault.RanYes)
 	}
 	return Outcome{Kind: settled}, nil
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -15,9 +15,11 @@
 	// Version answers ChangeTable: the version made, or the current one for a
 	// refused change.
 	Version uint64
-	// Work answers the commands of the ledger.
+	// Work answers the commands of the ledger, apart from AbandonWork. It is nil
+	// when the command was refused without looking at the record.
 	Work *ledger.Outcome
-	// Authority answers the commands of the authority.
+	// Authority answers the commands of the authority. It is nil when the command
+	// was refused.
 	Authority *authority.Outcome
 }
 
@@ -60,15 +62,18 @@
 
 // workResult answers a Begin: an outcome that forbids sending is an error.
 func workResult(o ledger.Outcome, err *fault.Error) Result {
-	if err == nil {
-		err = o.Err()
+	if err != nil {
+		return Result{Err: err}
 	}
-	return Result{Err: err, Work: &o}
+	return Result{Err: o.Err(), Work: &o}
 }
 
 // workDone answers a Finish or Cancel: the outcome is what the record says now.
 func workDone(o ledger.Outcome, err *fault.Error) Result {
-	return Result{Err: err, Work: &o}
+	if err != nil {
+		return Result{Err: err}
+	}
+	return Result{Work: &o}
 }
 
 func (c AcquireAuthority) apply(s *State, _ int64) Result {
@@ -98,7 +103,10 @@
 }
 
 func authorityResult(o authority.Outcome, err *fault.Error) Result {
-	return Result{Err: err, Authority: &o}
+	if err != nil {
+		return Result{Err: err}
+	}
+	return Result{Authority: &o}
 }
 
 func (c SetDrain) apply(s *State, now int64) Result {
--- a/root/control/replicated/world_test.go
+++ b/root/control/replicated/world_test.go
@@ -99,6 +99,8 @@
 	limits *ledger.Limits
 	// engineForgets takes the check of fencing numbers out of the engine.
 	engineForgets bool
+	// keepsSending lets a holder settle its own order before its sending has ended.
+	keepsSending bool
 }
 
 // proposal is a command under way to the log, with what its sender does with
