--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -81,6 +81,9 @@
 	Hint   uint64
 	// Round numbers heartbeat rounds; a reply echoes it for leases and reads.
 	Round uint64
+	// Transfer is set on a MsgVote that a MsgTimeoutNow caused: the leader gave
+	// up its lease, so voters answer although they heard from it.
+	Transfer bool
 }
 
 // Persist is one batch of writes. The caller reports Seq back by Persisted once
