--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -163,6 +163,11 @@
 	}
 	c.log.written, c.log.durable = c.log.last(), c.log.last()
 	c.log.cut, c.log.cutAfter = false, 0
+	if at := c.log.lastTerm(); at > c.term {
+		// The snapshot became durable before the hard state did.
+		c.term, c.vote = at, ""
+		c.disk.hardState = true
+	}
 	return nil
 }
 
--- a/root/control/consensus/disk.go
+++ b/root/control/consensus/disk.go
@@ -36,8 +36,14 @@
 	if d.snapshot {
 		p.Snapshot = c.snapshot
 	}
-	if c.log.written < c.log.last() {
-		p.Entries = c.log.between(c.log.written+1, c.log.last())
+	first := c.log.written + 1
+	if p.Snapshot != nil && p.Truncate {
+		// The log starts anew after the snapshot.
+		p.TruncateAfter = max(p.TruncateAfter, p.Snapshot.Index)
+		first = max(first, p.Snapshot.Index+1)
+	}
+	if first <= c.log.last() {
+		p.Entries = c.log.between(first, c.log.last())
 	}
 	d.hardState, d.snapshot = false, false
 	c.log.cut, c.log.cutAfter = false, 0
--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -88,7 +88,8 @@
 
 // Persist is one batch of writes. The caller reports Seq back by Persisted once
 // the whole batch is durable. A snapshot is written first, then the log is cut
-// after TruncateAfter when Truncate is set, then entries are appended.
+// after TruncateAfter when Truncate is set, then entries are appended. With a
+// Snapshot and Truncate together the log starts anew after the snapshot.
 type Persist struct {
 	Seq           uint64
 	HardState     *HardState
--- /dev/null
+++ b/root/storage/snap/snap.go
@@ -0,0 +1,104 @@
+// Package snap keeps snapshots of the replicated state as checked files.
+package snap
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/storage/files"
+	"github.com/wagtaildyke/wagtaildyke/root/storage/record"
+)
+
+const part = "storage/snap"
+
+const (
+	magic      = "WTDSNAP1"
+	nameFormat = "%020d.snap"
+)
+
+// Save makes a snapshot durable. Kinds: TooLarge, Unavailable.
+func Save(fs files.FS, dir string, s consensus.Snapshot) error {
+	if len(s.Data) > record.MaxPayloadBytes/2 {
+		return fault.New(fault.TooLarge, part, "snapshot has %d bytes", len(s.Data))
+	}
+	if err := files.Replace(fs, fileName(dir, s.Index), Encode(s)); err != nil {
+		return fault.Wrap(err, fault.Unavailable, part, "cannot write snapshot %d", s.Index)
+	}
+	return nil
+}
+
+// Encode returns the content of a snapshot file.
+func Encode(s consensus.Snapshot) []byte {
+	payload := record.AppendSnapshot(nil, s)
+	return record.Append([]byte(magic), record.Frame{Kind: record.Snapshot, Last: true, Payload: payload})
+}
+
+// Decode reads the content of a snapshot file. It reports false for damage.
+func Decode(data []byte) (consensus.Snapshot, bool) {
+	if len(data) < len(magic) || string(data[:len(magic)]) != magic {
+		return consensus.Snapshot{}, false
+	}
+	frame, size, ok := record.Parse(data[len(magic):])
+	if !ok || frame.Kind != record.Snapshot || len(magic)+size != len(data) {
+		return consensus.Snapshot{}, false
+	}
+	r := record.NewReader(frame.Payload)
+	s := r.Snapshot()
+	return s, r.Done()
+}
+
+// Indexes returns the indexes of the snapshot files, newest first. Kind: Unavailable.
+func Indexes(fs files.FS, dir string) ([]uint64, error) {
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, part, "cannot list snapshots")
+	}
+	var found []uint64
+	for _, name := range names {
+		var index uint64
+		if n, _ := fmt.Sscanf(name, nameFormat, &index); n == 1 && name == fmt.Sprintf(nameFormat, index) {
+			found = append(found, index)
+		}
+	}
+	slices.Sort(found)
+	slices.Reverse(found)
+	return found, nil
+}
+
+// Load reads the snapshot at index. Kinds: Corrupt, Unavailable.
+func Load(fs files.FS, dir string, index uint64) (consensus.Snapshot, error) {
+	name := fileName(dir, index)
+	data, err := fs.ReadFile(name)
+	if err != nil {
+		return consensus.Snapshot{}, fault.Wrap(err, fault.Unavailable, part, "cannot read %s", name)
+	}
+	s, ok := Decode(data)
+	if !ok || s.Index != index {
+		return consensus.Snapshot{}, fault.New(fault.Corrupt, part, "%s is damaged", name)
+	}
+	return s, nil
+}
+
+// Prune removes snapshots older than the newest keep.
+// It returns the index of the oldest one kept, 0 without any. Kind: Unavailable.
+func Prune(fs files.FS, dir string, keep int) (uint64, error) {
+	found, err := Indexes(fs, dir)
+	if err != nil || len(found) == 0 {
+		return 0, err
+	}
+	for len(found) > keep {
+		oldest := found[len(found)-1]
+		if err := fs.Remove(fileName(dir, oldest)); err != nil {
+			return 0, fault.Wrap(err, fault.Unavailable, part, "cannot remove snapshot %d", oldest)
+		}
+		found = found[:len(found)-1]
+	}
+	return found[len(found)-1], nil
+}
+
+func fileName(dir string, index uint64) string {
+	return filepath.Join(dir, fmt.Sprintf(nameFormat, index))
+}
