--- /dev/null
+++ b/root/traffic/dispatch/dispatcher_test.go
@@ -0,0 +1,122 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
+)
+
+// published returns a store with n active engines of two slots each.
+func published(n int, classes ...table.Class) *view.Store {
+	v := &view.View{Term: 1, Seq: 1, LeaseUntil: time.Now().Add(time.Hour)}
+	v.Table = table.Table{Version: 1, Classes: classes}
+	for i := range n {
+		v.Servers = append(v.Servers, fleet.Server{
+			ID: fmt.Sprintf("engine-%d", i), Targets: []string{"small"}, Slots: 2,
+			FailureDomain: fmt.Sprintf("fd-%d", i%2),
+		})
+	}
+	store := &view.Store{}
+	store.Publish(v)
+	return store
+}
+
+func shortClass() table.Class {
+	return table.Class{
+		Name: "question", Weight: 1, Queue: 1000, Deadline: time.Minute,
+		Targets: []string{"small"}, Idempotent: true,
+	}
+}
+
+func TestEachAcquireEndsOnceAndSlotsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		class := shortClass()
+		class.Concurrency = 5
+		d := dispatch.New(dispatch.Options{Views: published(4, class), Seed: 1, Entries: 1})
+		var running, peak, granted, refused atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 400 {
+			wg.Go(func() {
+				random := rand.New(rand.NewPCG(7, uint64(i)))
+				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+random.IntN(20))*time.Second)
+				defer cancel()
+				l, err := d.Acquire(ctx, dispatch.Request{Class: "question", Target: "small"})
+				if err != nil {
+					var typed *fault.Error
+					c.Check(errors.As(err, &typed), qt.IsTrue)
+					c.Check(typed.Ran, qt.Equals, fault.RanNo)
+					refused.Add(1)
+					return
+				}
+				granted.Add(1)
+				peak.Store(max(peak.Load(), running.Add(1)))
+				time.Sleep(200 * time.Millisecond)
+				running.Add(-1)
+				l.Tokens(10)
+				l.Done(dispatch.Succeeded)
+				l.Done(dispatch.Failed)
+			})
+		}
+		wg.Wait()
+		c.Check(granted.Load()+refused.Load(), qt.Equals, int64(400))
+		c.Check(granted.Load() > 100, qt.IsTrue, qt.Commentf("%d granted", granted.Load()))
+		c.Check(peak.Load(), qt.Equals, int64(5))
+		c.Check(d.Own(), qt.HasLen, 0)
+		demand := d.Demand()[0]
+		c.Check(demand.Running+demand.Waiting, qt.Equals, 0)
+	})
+}
+
+func TestRefusalsHaveTheirKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		class := shortClass()
+		class.Queue, class.Deadline, class.RatePerSecond = 1, 10*time.Second, 3
+		store := published(1, class)
+		d := dispatch.New(dispatch.Options{Views: store, Entries: 1})
+		acquire := func(r dispatch.Request) fault.Kind {
+			if _, err := d.Acquire(t.Context(), r); err != nil {
+				c.Check(fault.From(err).Ran, qt.Equals, fault.RanNo)
+				return fault.KindOf(err)
+			}
+			return 255
+		}
+		ask := dispatch.Request{Class: "question", Target: "small"}
+		c.Check(acquire(dispatch.Request{Class: "none", Target: "small"}), qt.Equals, fault.NotFound)
+		c.Check(acquire(dispatch.Request{Class: "question", Target: "large"}), qt.Equals, fault.NotFound)
+		past := ask
+		past.Deadline = time.Now().Add(-time.Second)
+		c.Check(acquire(past), qt.Equals, fault.DeadlineExceeded)
+		c.Check(acquire(ask), qt.Equals, fault.Kind(255))
+		c.Check(acquire(ask), qt.Equals, fault.Kind(255))
+		go acquire(ask)
+		synctest.Wait()
+		c.Check(acquire(ask), qt.Equals, fault.RateLimited)
+		time.Sleep(time.Second)
+		c.Check(acquire(ask), qt.Equals, fault.Overloaded)
+		time.Sleep(time.Minute)
+		next := *store.Load()
+		next.Servers = []fleet.Server{{ID: "engine-0", Targets: []string{"small"}, State: fleet.Draining}}
+		store.Publish(&next)
+		d.ViewChanged()
+		c.Check(acquire(ask), qt.Equals, fault.NoBackend)
+		time.Sleep(2 * time.Hour)
+		c.Check(acquire(ask), qt.Equals, fault.NotReady)
+	})
+}
--- /dev/null
+++ b/root/traffic/dispatch/state.go
@@ -0,0 +1,309 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/admission"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/scheduling"
+)
+
+const part = "traffic/dispatch"
+
+const (
+	// retryRatio is the number of retries earned by each first attempt.
+	retryRatio = 0.1
+	// retryBurst bounds the retries that can be saved up.
+	retryBurst = 10
+	// noBackendRetry is the suggested wait when no server can take the work.
+	noBackendRetry = time.Second
+	// notReadyRetry is the suggested wait while the view lease is out.
+	notReadyRetry = time.Second
+)
+
+// Refused is a waiting request that will not run.
+type Refused struct {
+	ID  uint64
+	Err *fault.Error
+}
+
+// waiting is a request in line.
+type waiting struct {
+	work scheduling.Work
+}
+
+// granted is a request with a place.
+type granted struct {
+	run *scheduling.Run
+}
+
+// State holds one entry's decisions: the line and the servers. It is pure;
+// callers serialise access and pass the time.
+type State struct {
+	view    *view.View
+	core    *admission.Core
+	sched   *scheduling.Scheduler
+	entries int
+	shares  map[string]float64
+	nextID  uint64
+	line    map[uint64]*waiting
+	held    map[uint64]*granted
+	retries admission.RetryBudget
+}
+
+// NewState returns the state of one of the given number of entries. Equal
+// seeds make equal choices.
+func NewState(entries int, seed uint64) *State {
+	return &State{
+		core:    admission.NewCore(),
+		sched:   scheduling.New(entries, seed),
+		entries: max(1, entries),
+		shares:  map[string]float64{},
+		line:    map[uint64]*waiting{},
+		held:    map[uint64]*granted{},
+		retries: admission.RetryBudget{Ratio: retryRatio, Burst: retryBurst},
+	}
+}
+
+// SetView applies a view. It returns the waiting requests whose class is gone.
+func (s *State) SetView(v *view.View) []Refused {
+	if v == nil || v == s.view {
+		return nil
+	}
+	s.view = v
+	s.sched.SetServers(v.Servers)
+	return s.applyClasses()
+}
+
+// SetShares sets the leased parts of the classes' fleet-wide limits, 0 to 1. A
+// class that is not named keeps an even part.
+func (s *State) SetShares(shares map[string]float64) []Refused {
+	s.shares = shares
+	if s.view == nil {
+		return nil
+	}
+	return s.applyClasses()
+}
+
+func (s *State) applyClasses() []Refused {
+	return s.refuse(s.core.SetClasses(s.view.Table.Classes, s.share))
+}
+
+func (s *State) share(class string) (float64, bool) {
+	if leased, ok := s.shares[class]; ok {
+		return leased, true
+	}
+	return 1 / float64(s.entries), false
+}
+
+// Arrive puts a request in line and returns its ticket, or refuses it. Call
+// Grants next, then Settle.
+func (s *State) Arrive(now time.Time, r Request) (uint64, *fault.Error) {
+	if err := s.ready(now); err != nil {
+		return 0, err
+	}
+	class, ok := s.view.Table.Class(r.Class)
+	if !ok {
+		return 0, fault.New(fault.NotFound, part, "no class %q", r.Class)
+	}
+	if !class.Allows(r.Target) {
+		return 0, fault.New(fault.NotFound, part, "class %q has no target %q", r.Class, r.Target)
+	}
+	work, item := s.describe(now, class, r)
+	if err := s.offered(&work); err != nil {
+		return 0, err
+	}
+	if refusal, ok := s.core.Arrive(now, item); !ok {
+		return 0, refusalError(refusal)
+	}
+	s.line[item.ID] = &waiting{work: work}
+	return item.ID, nil
+}
+
+func (s *State) ready(now time.Time) *fault.Error {
+	if s.view.Ready(now) {
+		return nil
+	}
+	if s.view != nil && s.view.Stopping {
+		return fault.New(fault.Stopping, part, "this entry is stopping").WithRetryAfter(notReadyRetry)
+	}
+	return fault.New(fault.NotReady, part, "no live view of the control state").WithRetryAfter(notReadyRetry)
+}
+
+func (s *State) offered(w *scheduling.Work) *fault.Error {
+	known, active := s.sched.Offers(w)
+	if active {
+		return nil
+	}
+	msg := "no backend server offers %q"
+	if known {
+		msg = "no active backend server offers %q"
+	}
+	return fault.New(fault.NoBackend, part, msg, w.Target).WithRetryAfter(noBackendRetry)
+}
+
+// describe estimates the request's work and time.
+func (s *State) describe(now time.Time, class table.Class, r Request) (scheduling.Work, admission.Item) {
+	est := s.sched.Lengths().Estimate(r.Class, r.Caller, r.MaxOutputTokens)
+	cost := scheduling.Cost(r.PromptTokens, est.Mean)
+	work := scheduling.Work{
+		Class: r.Class, Caller: r.Caller, Target: r.Target, Stage: r.Stage,
+		PromptTokens: r.PromptTokens,
+		Output:       est.Mean,
+		Long:         scheduling.IsLong(cost),
+		Prefix:       r.Prefix,
+		Exclude:      r.Exclude,
+	}
+	arrived := r.Arrived
+	if arrived.IsZero() {
+		arrived = now
+	}
+	deadline := r.Deadline
+	if deadline.IsZero() && class.Deadline > 0 {
+		deadline = arrived.Add(class.Deadline)
+	}
+	s.nextID++
+	return work, admission.Item{
+		ID: s.nextID, Class: r.Class,
+		Cost:     cost,
+		Tokens:   r.PromptTokens + int(est.Mean),
+		Arrived:  arrived,
+		Deadline: deadline,
+		Service:  s.sched.Predict(r.Target, r.PromptTokens, est.High),
+	}
+}
+
+// Grants places what can run now and refuses what can no longer meet its
+// deadline.
+func (s *State) Grants(now time.Time) ([]Grant, []Refused) {
+	refused := s.refuse(s.core.Expire(now))
+	if s.view == nil || !now.Before(s.view.LeaseUntil) {
+		return nil, refused
+	}
+	var grants []Grant
+	for {
+		g, ok := s.grantOne(now)
+		if !ok {
+			return grants, refused
+		}
+		grants = append(grants, g)
+	}
+}
+
+func (s *State) grantOne(now time.Time) (Grant, bool) {
+	var g Grant
+	item, ok := s.core.Grant(now, func(it admission.Item) bool {
+		server, found := s.sched.Pick(now, &s.line[it.ID].work)
+		g.Server = server
+		return found
+	})
+	if !ok {
+		return Grant{}, false
+	}
+	work := s.line[item.ID].work
+	delete(s.line, item.ID)
+	g.ID = item.ID
+	g.Class, _ = s.view.Table.Class(item.Class)
+	g.hedgeAfter = s.sched.HedgeAfter(&work)
+	g.run = s.sched.Begin(now, work, g.Server.ID)
+	s.held[item.ID] = &granted{run: g.run}
+	return g, true
+}
+
+// Settle refuses the request again when it still waits in a full queue.
+func (s *State) Settle(now time.Time, id uint64) (*fault.Error, bool) {
+	w := s.line[id]
+	if w == nil {
+		return nil, true
+	}
+	refusal, over := s.core.Overfull(now, id, w.work.Class)
+	if !over {
+		return nil, true
+	}
+	delete(s.line, id)
+	return refusalError(refusal), false
+}
+
+// Cancel takes a waiting request out of line and reports whether it still
+// waited.
+func (s *State) Cancel(id uint64) bool {
+	w := s.line[id]
+	if w == nil {
+		return false
+	}
+	delete(s.line, id)
+	return s.core.Cancel(id, w.work.Class)
+}
+
+// Tokens counts n output tokens of a granted request, observed now.
+func (s *State) Tokens(now time.Time, id uint64, n int) {
+	if h := s.held[id]; h != nil {
+		h.run.Tokens(now, n)
+	}
+}
+
+// Done ends a granted request. Later calls do nothing.
+func (s *State) Done(now time.Time, id uint64, outcome Outcome) {
+	h := s.held[id]
+	if h == nil {
+		return
+	}
+	delete(s.held, id)
+	h.run.End(now, outcome == Succeeded)
+	s.core.Release(now, id, h.run.Cost())
+	if outcome == Succeeded {
+		s.retries.Attempt()
+	}
+}
+
+// TakeRetry spends one retry of the budget.
+func (s *State) TakeRetry() bool { return s.retries.Take() }
+
+// NextWake returns the time at which Grants may decide otherwise without any
+// other event; false when none is known.
+func (s *State) NextWake() (time.Time, bool) { return s.core.NextExpiry() }
+
+// Own returns this entry's load on each backend server that it uses.
+func (s *State) Own() []ServerLoad { return s.sched.Own() }
+
+// Demand returns this entry's demand for each class.
+func (s *State) Demand(now time.Time) []ClassDemand {
+	loads := s.core.Loads(now)
+	out := make([]ClassDemand, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, ClassDemand{Class: l.Class, Running: l.Running, Waiting: l.Waiting, Rate: l.Rate})
+	}
+	return out
+}
+
+func (s *State) refuse(refusals []admission.Refusal) []Refused {
+	out := make([]Refused, 0, len(refusals))
+	for _, r := range refusals {
+		delete(s.line, r.Item.ID)
+		out = append(out, Refused{ID: r.Item.ID, Err: refusalError(r)})
+	}
+	return out
+}
+
+// refusalError maps a refusal to its error kind. Refused work never ran.
+func refusalError(r admission.Refusal) *fault.Error {
+	kind, msg := fault.Overloaded, "the line is too long"
+	switch r.Reason {
+	case admission.UnknownClass:
+		kind, msg = fault.NotFound, "the class is not in the table"
+	case admission.RateExceeded:
+		kind, msg = fault.RateLimited, "the class's rate is used up"
+	case admission.QueueFull:
+		msg = "the class's queue is full"
+	case admission.TooMuchWait:
+		msg = "the predicted wait passes the deadline"
+	case admission.TooManyTokens:
+		kind, msg = fault.TooLarge, "the request passes the class's token limit"
+	case admission.Expired:
+		kind, msg = fault.DeadlineExceeded, "the deadline cannot be met"
+	}
+	err := fault.New(kind, part, "%s", msg).WithRan(fault.RanNo)
+	return err.WithRetryAfter(r.RetryAfter)
+}
--- /dev/null
+++ b/root/traffic/scheduling/filter_target.go
@@ -0,0 +1,11 @@
+package scheduling
+
+import "slices"
+
+// TargetFilter keeps servers that offer the model or service.
+type TargetFilter struct{}
+
+// Keep implements Filter.
+func (TargetFilter) Keep(w *Work, c *Candidate) bool {
+	return slices.Contains(c.Server.Targets, w.Target)
+}
--- /dev/null
+++ b/root/traffic/scheduling/score_domain.go
@@ -0,0 +1,8 @@
+package scheduling
+
+// DomainScorer prefers failure domains with a smaller used share of their
+// slots, so that losing one domain cuts fewer requests.
+type DomainScorer struct{}
+
+// Score implements Scorer.
+func (DomainScorer) Score(_ *Work, c *Candidate) float64 { return c.DomainLoad }
--- /dev/null
+++ b/root/traffic/scheduling/score_load.go
@@ -0,0 +1,13 @@
+package scheduling
+
+import "math"
+
+// LoadScorer prefers servers with a smaller used share of their slots, and
+// counts a queue on the server itself twice.
+type LoadScorer struct{}
+
+// Score implements Scorer.
+func (LoadScorer) Score(_ *Work, c *Candidate) float64 {
+	slots := math.Max(1, float64(c.Server.Slots))
+	return (c.Running() + 2*c.Queued) / slots
+}
