--- /dev/null
+++ b/root/control/fleet/tracker.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Timing bounds how long silence is tolerated.
+type Timing struct {
+	// SuspectAfter is the silence after which a member receives no new work.
+	SuspectAfter time.Duration
+	// RemoveAfter is the silence after which a member is forgotten.
+	RemoveAfter time.Duration
+}
+
+// Tracker is the leader's soft picture of VMs and backend servers. It is
+// rebuilt from reports after a change of leader.
+type Tracker struct {
+	timing  Timing
+	servers map[string]*serverEntry
+	vms     map[string]*vmEntry
+}
+
+type serverEntry struct {
+	server    Server
+	lastHeard time.Time
+	// running holds each VM's own requests in flight on the server.
+	running map[string]OwnLoad
+}
+
+type vmEntry struct {
+	vm        VM
+	lastHeard time.Time
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker(timing Timing) *Tracker {
+	return &Tracker{timing: timing, servers: map[string]*serverEntry{}, vms: map[string]*vmEntry{}}
+}
+
+// HearServer records an announcement heard at the given time and reports
+// whether anything but the load changed. An older incarnation is ignored, and
+// so is an older announcement of the same incarnation.
+func (t *Tracker) HearServer(s Server, heardAt time.Time) bool {
+	e := t.servers[s.ID]
+	if e == nil {
+		t.servers[s.ID] = &serverEntry{server: s, lastHeard: heardAt, running: map[string]OwnLoad{}}
+		return true
+	}
+	if s.Incarnation < e.server.Incarnation {
+		return false
+	}
+	if s.Incarnation == e.server.Incarnation && !e.accepts(s, heardAt) {
+		return false
+	}
+	changed := !sameAnnouncement(e.server, s)
+	e.server = s
+	e.lastHeard = heardAt
+	return changed
+}
+
+// accepts reports whether an announcement of the current incarnation is news.
+// Leaving is final for an incarnation.
+func (e *serverEntry) accepts(s Server, heardAt time.Time) bool {
+	if e.server.State == Leaving {
+		return false
+	}
+	return s.State == Leaving || heardAt.After(e.lastHeard)
+}
+
+func sameAnnouncement(a, b Server) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.State == b.State &&
+		a.Role == b.Role && a.Slots == b.Slots && slices.Equal(a.Targets, b.Targets) &&
+		a.FailureDomain == b.FailureDomain
+}
+
+// HearVM records a heartbeat of a VM and reports whether anything but its load
+// changed. An older incarnation is ignored.
+func (t *Tracker) HearVM(vm VM, now time.Time) bool {
+	e := t.vms[vm.ID]
+	if e == nil {
+		t.vms[vm.ID] = &vmEntry{vm: vm, lastHeard: now}
+		return true
+	}
+	if vm.Incarnation < e.vm.Incarnation {
+		return false
+	}
+	changed := e.vm.State != vm.State || e.vm.Address != vm.Address || e.vm.Incarnation != vm.Incarnation
+	e.vm = vm
+	e.lastHeard = now
+	return changed
+}
+
+// HearLoads replaces one VM's own loads on all backend servers.
+func (t *Tracker) HearLoads(vm string, loads []OwnLoad) {
+	for _, e := range t.servers {
+		delete(e.running, vm)
+	}
+	for _, l := range loads {
+		if e := t.servers[l.Server]; e != nil {
+			e.running[vm] = l
+		}
+	}
+}
+
+// Forget removes a VM that has stopped.
+func (t *Tracker) Forget(vm string) {
+	delete(t.vms, vm)
+	for _, e := range t.servers {
+		delete(e.running, vm)
+	}
+}
+
+// Expire applies the bounds on silence and reports whether a state changed.
+func (t *Tracker) Expire(now time.Time) bool {
+	changed := false
+	for id, e := range t.servers {
+		switch silent := now.Sub(e.lastHeard); {
+		case silent >= t.timing.RemoveAfter:
+			delete(t.servers, id)
+			changed = true
+		case silent >= t.timing.SuspectAfter && e.server.State == Active:
+			e.server.State = Suspected
+			changed = true
+		}
+	}
+	for id, e := range t.vms {
+		switch silent := now.Sub(e.lastHeard); {
+		case silent >= t.timing.RemoveAfter:
+			t.Forget(id)
+			changed = true
+		case silent >= t.timing.SuspectAfter && e.vm.State == Active:
+			e.vm.State = Suspected
+			changed = true
+		}
+	}
+	return changed
+}
+
+// VM returns the VM with the given id.
+func (t *Tracker) VM(id string) (VM, bool) {
+	e := t.vms[id]
+	if e == nil {
+		return VM{}, false
+	}
+	return e.vm, true
+}
+
+// VMs returns a sorted copy of all VMs.
+func (t *Tracker) VMs() []VM {
+	out := make([]VM, 0, len(t.vms))
+	for _, e := range t.vms {
+		out = append(out, e.vm)
+	}
+	slices.SortFunc(out, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Servers returns a sorted copy of all backend servers. Running is at least
+// the sum of the entries' own counts.
+func (t *Tracker) Servers() []Server {
+	out := make([]Server, 0, len(t.servers))
+	for _, e := range t.servers {
+		s := e.server
+		s.Load.Running = max(s.Load.Running, e.ownRunning())
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (e *serverEntry) ownRunning() int {
+	sum := 0
+	for l := range maps.Values(e.running) {
+		sum += l.Running
+	}
+	return sum
+}
--- /dev/null
+++ b/root/control/machine/config.go
@@ -0,0 +1,76 @@
+package machine
+
+import (
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+)
+
+// Timing sets the periods and bounds of the control state.
+type Timing struct {
+	// ViewLease is how long an entry may take new work after a Renew.
+	ViewLease time.Duration
+	// RenewInterval is the time between Renews in health.
+	RenewInterval time.Duration
+	// RenewTimeout is how long to wait for a Grant before trying another replica.
+	RenewTimeout time.Duration
+	// ProposeRetry is the time between resends of an unanswered Propose.
+	ProposeRetry time.Duration
+	// ProposeTimeout bounds the wait for a commit.
+	ProposeTimeout time.Duration
+	// LeaderSweep is the time between the leader's checks for silence.
+	LeaderSweep time.Duration
+	// LedgerTick is the time between the leader's expiry commands.
+	LedgerTick time.Duration
+	// MaxClockDrift bounds the relative rate of two clocks, such as 0.01 for 1%.
+	MaxClockDrift float64
+	Fleet         fleet.Timing
+}
+
+// DefaultTiming returns the timing for VMs a few milliseconds apart.
+func DefaultTiming() Timing {
+	return Timing{
+		ViewLease:      3 * time.Second,
+		RenewInterval:  500 * time.Millisecond,
+		RenewTimeout:   400 * time.Millisecond,
+		ProposeRetry:   400 * time.Millisecond,
+		ProposeTimeout: 8 * time.Second,
+		LeaderSweep:    250 * time.Millisecond,
+		LedgerTick:     time.Minute,
+		MaxClockDrift:  0.01,
+		Fleet: fleet.Timing{
+			SuspectAfter: 3 * time.Second,
+			RemoveAfter:  30 * time.Second,
+		},
+	}
+}
+
+// Config describes one process.
+type Config struct {
+	// Self is this VM; Address is empty without an entry part.
+	Self fleet.VM
+	// Replicas are the VMs whose settings say that they run a replica.
+	Replicas []string
+	Timing   Timing
+	// CompactEvery is the number of applied entries between snapshots.
+	CompactEvery uint64
+}
+
+// ReplicaConfig describes the replica part of a process that has one.
+type ReplicaConfig struct {
+	Consensus consensus.Config
+	// Bootstrap is the first set of members; used only while the log is empty.
+	Bootstrap consensus.Members
+	Restored  consensus.Restored
+	Codec     Codec
+}
+
+// Codec turns commands and snapshots into bytes for the log.
+type Codec interface {
+	EncodeCommand(replicated.Command) ([]byte, error)
+	DecodeCommand([]byte) (replicated.Command, error)
+	EncodeSnapshot(replicated.Snapshot) ([]byte, error)
+	DecodeSnapshot([]byte) (replicated.Snapshot, error)
+}
--- /dev/null
+++ b/root/control/machine/leader.go
@@ -0,0 +1,255 @@
+package machine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// leader is the work of the replica that leads: view leases, the fleet's soft
+// state, and answers to proposals. It is rebuilt from Renews after a change of
+// leader.
+type leader struct {
+	r    *replica
+	m    *Machine
+	term uint64
+	// since is when this term was settled. Leases of an earlier leader have run
+	// out one view lease later.
+	since    time.Time
+	fleet    *fleet.Tracker
+	seq      uint64
+	view     *view.View
+	holders  map[string]*holder
+	waiting  map[uint64]proposer
+	inForce  []inForce
+	sweepAt  time.Time
+	ledgerAt time.Time
+	// loadDirty is set when only loads changed since the last view.
+	loadDirty bool
+}
+
+// holder is a process that holds a view lease.
+type holder struct {
+	vm fleet.VM
+	// until is when the lease has run out by this clock, drift included.
+	until        time.Time
+	seq          uint64
+	tableVersion uint64
+	demands      []fleet.Demand
+}
+
+func newLeader(r *replica, term uint64) *leader {
+	m := r.m
+	l := &leader{
+		r: r, m: m, term: term, since: m.now,
+		fleet:    fleet.NewTracker(m.cfg.Timing.Fleet),
+		holders:  map[string]*holder{},
+		waiting:  map[uint64]proposer{},
+		sweepAt:  m.now.Add(m.cfg.Timing.LeaderSweep),
+		ledgerAt: m.now.Add(m.cfg.Timing.LedgerTick),
+	}
+	l.rebuild()
+	return l
+}
+
+// rebuild makes a new view of the current state and pushes it.
+func (l *leader) rebuild() {
+	l.seq++
+	l.loadDirty = false
+	l.view = &view.View{
+		Term:    l.term,
+		Seq:     l.seq,
+		Table:   l.r.state.Table(),
+		Servers: l.serversInView(),
+		VMs:     l.vmsInView(),
+	}
+	for id := range l.holders {
+		l.m.send(id, Grant{Term: l.term, Seq: l.seq, View: l.view})
+	}
+}
+
+func (l *leader) serversInView() []fleet.Server {
+	servers := l.fleet.Servers()
+	drains := l.r.state.Drains()
+	fencing := l.r.state.Fencing()
+	for i := range servers {
+		s := &servers[i]
+		s.ChecksFencing = fencing[s.ID]
+		if _, draining := drains[s.ID]; draining && s.State == fleet.Active {
+			s.State = fleet.Draining
+		}
+	}
+	return servers
+}
+
+func (l *leader) vmsInView() []fleet.VM {
+	vms := l.fleet.VMs()
+	drains := l.r.state.Drains()
+	for i := range vms {
+		if _, draining := drains[vms[i].ID]; draining && vms[i].State == fleet.Active {
+			vms[i].State = fleet.Draining
+		}
+	}
+	return vms
+}
+
+// renewed takes one process's report and grants it a view lease.
+func (l *leader) renewed(from string, msg Renew) {
+	if old, ok := l.fleet.VM(from); ok && msg.VM.Incarnation < old.Incarnation {
+		return
+	}
+	if msg.Stopped {
+		l.release(from)
+		return
+	}
+	changed := l.fleet.HearVM(msg.VM, l.m.now)
+	for _, h := range msg.Heard {
+		if l.fleet.HearServer(h.Server, l.m.now.Add(-h.Age)) {
+			changed = true
+		}
+	}
+	l.fleet.HearLoads(from, msg.Loads)
+	l.loadDirty = l.loadDirty || len(msg.Loads) > 0
+	if changed {
+		l.rebuild()
+	} else if l.loadDirty && msg.ViewSeq == l.seq {
+		l.refreshLoads()
+	}
+	l.repairMembers(from, msg.Replica)
+	l.grant(from, msg)
+	l.checkInForce()
+}
+
+// refreshLoads makes a new view without pushing it: entries fetch it as they renew.
+func (l *leader) refreshLoads() {
+	holders := l.holders
+	l.holders = nil
+	l.rebuild()
+	l.holders = holders
+}
+
+func (l *leader) grant(to string, msg Renew) {
+	lease := l.m.cfg.Timing.ViewLease
+	h := l.holders[to]
+	if h == nil {
+		h = &holder{}
+		l.holders[to] = h
+	}
+	h.vm = msg.VM
+	h.until = l.m.now.Add(lease)
+	h.demands = msg.Demands
+	if msg.ViewTerm == l.term {
+		h.seq = msg.ViewSeq
+		h.tableVersion = msg.TableVersion
+	}
+	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq, Shares: l.shares(to)}
+	if msg.ViewTerm != l.term || msg.ViewSeq != l.seq {
+		g.View = l.view
+	}
+	l.m.send(to, g)
+}
+
+// release forgets a process that has drained: it takes no new work any more.
+func (l *leader) release(from string) {
+	delete(l.holders, from)
+	l.fleet.Forget(from)
+	l.rebuild()
+	l.checkInForce()
+}
+
+func (l *leader) tick() {
+	now := l.m.now
+	if now.Before(l.sweepAt) {
+		return
+	}
+	l.sweepAt = now.Add(l.m.cfg.Timing.LeaderSweep)
+	if l.fleet.Expire(now) {
+		l.rebuild()
+	}
+	l.dropHolders()
+	l.checkInForce()
+	if !now.Before(l.ledgerAt) {
+		l.ledgerAt = now.Add(l.m.cfg.Timing.LedgerTick)
+		l.commit(replicated.Tick{}, proposer{})
+	}
+}
+
+func (l *leader) nextWake() time.Time { return l.sweepAt }
+
+// dropHolders forgets leases that ran out long ago.
+func (l *leader) dropHolders() {
+	for id, h := range l.holders {
+		if l.m.now.Sub(h.until) > l.m.cfg.Timing.Fleet.RemoveAfter {
+			delete(l.holders, id)
+		}
+	}
+}
+
+// readDone is unused by commands that go through the log.
+func (l *leader) readDone(consensus.ReadResult) {}
+
+// shares divides each class's fleet-wide limits over the entries.
+func (l *leader) shares(to string) []fleet.Share {
+	entries := 0
+	for _, vm := range l.fleet.VMs() {
+		if vm.Address != "" {
+			entries++
+		}
+	}
+	if entries == 0 {
+		return nil
+	}
+	out := make([]fleet.Share, 0, len(l.view.Table.Classes))
+	for _, c := range l.view.Table.Classes {
+		out = append(out, fleet.Share{Class: c.Name, Fraction: 1 / float64(entries)})
+	}
+	return out
+}
+
+// repairMembers brings a replica that returned without its disk back as a
+// learner, takes out its old identity, and promotes it once it has caught up.
+func (l *leader) repairMembers(vm string, id consensus.NodeID) {
+	if id == "" || !slices.Contains(l.m.cfg.Replicas, vm) {
+		return
+	}
+	st := l.r.core.Status()
+	if slices.Contains(st.Members.Voters, id) {
+		return
+	}
+	next, ok := nextMembers(st.Members, vm, id)
+	if !ok {
+		return
+	}
+	// A change refused now, such as a learner that lags, is tried at the next Renew.
+	_ = l.r.core.ChangeMembers(l.m.now, next)
+}
+
+// nextMembers returns the next single change towards vm taking part as id.
+func nextMembers(cur consensus.Members, vm string, id consensus.NodeID) (consensus.Members, bool) {
+	next := consensus.Members{
+		Voters:   slices.Clone(cur.Voters),
+		Learners: slices.Clone(cur.Learners),
+	}
+	other := func(n consensus.NodeID) bool { return VMOf(n) == vm && n != id }
+	stale := slices.IndexFunc(next.Learners, other)
+	if stale >= 0 {
+		next.Learners = slices.Delete(next.Learners, stale, stale+1)
+		return next, true
+	}
+	if !slices.Contains(next.Learners, id) {
+		next.Learners = append(next.Learners, id)
+		return next, true
+	}
+	old := slices.IndexFunc(next.Voters, other)
+	if old >= 0 && len(next.Voters) > 2 {
+		next.Voters = slices.Delete(next.Voters, old, old+1)
+		return next, true
+	}
+	next.Learners = slices.DeleteFunc(next.Learners, func(n consensus.NodeID) bool { return n == id })
+	next.Voters = append(next.Voters, id)
+	return next, true
+}
--- /dev/null
+++ b/root/control/machine/member.go
@@ -0,0 +1,205 @@
+package machine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// member keeps this process's view and its lease. Every process has one.
+//
+// Invariants: the published term and sequence never go back; the lease covers
+// only the view that the leader called current.
+type member struct {
+	m       *Machine
+	current *view.View
+	// leader is the VM to ask; a guess until a Grant arrives.
+	leader    string
+	nextRenew time.Time
+	// waiting is set between a Renew and its answer.
+	waiting   bool
+	waitUntil time.Time
+	heard     map[string]heard
+	own       Traffic
+	state     fleet.State
+	stopped   bool
+}
+
+type heard struct {
+	server fleet.Server
+	at     time.Time
+}
+
+func newMember(m *Machine) *member {
+	return &member{m: m, heard: map[string]heard{}, nextRenew: m.now, current: &view.View{}}
+}
+
+// announced records a backend server's announcement. News travels at once.
+func (b *member) announced(s fleet.Server) {
+	old, known := b.heard[s.ID]
+	if known && s.Incarnation < old.server.Incarnation {
+		return
+	}
+	b.heard[s.ID] = heard{server: s, at: b.m.now}
+	if !known || old.server.State != s.State || old.server.Incarnation != s.Incarnation || old.server.Role != s.Role {
+		b.nextRenew = b.m.now
+	}
+}
+
+func (b *member) traffic(t Traffic) { b.own = t }
+
+func (b *member) stop(phase StopPhase) {
+	b.state = fleet.Leaving
+	b.nextRenew = b.m.now
+	switch phase {
+	case StopRefusing:
+		b.publish(func(v *view.View) { v.Stopping = true })
+	case StopDone:
+		b.stopped = true
+		if b.m.replica != nil {
+			b.m.replica.handOver()
+		}
+	}
+}
+
+func (b *member) tick() {
+	if b.waiting && !b.m.now.Before(b.waitUntil) {
+		b.waiting = false
+		b.tryNextReplica()
+		b.nextRenew = b.m.now
+	}
+	if !b.m.now.Before(b.nextRenew) {
+		b.renew()
+	}
+}
+
+func (b *member) nextWake() time.Time {
+	if b.waiting {
+		return earlier(b.nextRenew, b.waitUntil)
+	}
+	return b.nextRenew
+}
+
+func (b *member) renew() {
+	if b.leader == "" {
+		b.tryNextReplica()
+	}
+	t := b.m.cfg.Timing
+	b.nextRenew = b.m.now.Add(t.RenewInterval)
+	b.waiting = true
+	b.waitUntil = b.m.now.Add(t.RenewTimeout)
+	b.m.send(b.leader, b.renewMessage())
+}
+
+func (b *member) renewMessage() Renew {
+	vm := b.m.cfg.Self
+	vm.State = b.state
+	vm.InFlight = b.own.InFlight
+	return Renew{
+		VM:           vm,
+		SentAt:       b.m.now.Sub(b.m.started),
+		ViewTerm:     b.current.Term,
+		ViewSeq:      b.current.Seq,
+		TableVersion: b.current.Table.Version,
+		Heard:        b.freshAnnouncements(),
+		Loads:        b.own.Loads,
+		Demands:      b.own.Demands,
+		Replica:      b.replicaID(),
+		Stopped:      b.stopped,
+	}
+}
+
+func (b *member) replicaID() consensus.NodeID {
+	if b.m.replica == nil {
+		return ""
+	}
+	return b.m.replica.id
+}
+
+// freshAnnouncements returns what was heard lately and forgets the rest.
+func (b *member) freshAnnouncements() []fleet.Heard {
+	out := make([]fleet.Heard, 0, len(b.heard))
+	for id, h := range b.heard {
+		age := b.m.now.Sub(h.at)
+		if age >= b.m.cfg.Timing.Fleet.RemoveAfter {
+			delete(b.heard, id)
+			continue
+		}
+		out = append(out, fleet.Heard{Server: h.server, Age: age})
+	}
+	return out
+}
+
+func (b *member) tryNextReplica() {
+	all := b.m.cfg.Replicas
+	if len(all) == 0 {
+		return
+	}
+	i := slices.Index(all, b.leader)
+	b.leader = all[(i+1)%len(all)]
+}
+
+func (b *member) notLeader(from string, msg NotLeader) {
+	if from != b.leader {
+		return
+	}
+	if msg.Leader != "" && msg.Leader != b.leader {
+		b.leader = msg.Leader
+		b.waiting = false
+		b.nextRenew = b.m.now
+		return
+	}
+	// The replica answered but knows no leader: ask the next one after the timeout.
+	b.waiting = true
+	b.waitUntil = earlier(b.waitUntil, b.m.now.Add(b.m.cfg.Timing.RenewTimeout/4))
+}
+
+// grant takes a lease, a newer view, or both. A grant of an older term has no effect.
+func (b *member) grant(from string, g Grant) {
+	if g.Term < b.current.Term {
+		return
+	}
+	b.leader = from
+	if g.View != nil && g.View.Newer(b.current) && g.View.Table.Version >= b.current.Table.Version {
+		b.adopt(g.View)
+	}
+	if g.Lease == 0 {
+		b.nextRenew = b.m.now
+		return
+	}
+	b.waiting = false
+	if g.Term == b.current.Term && g.Seq == b.current.Seq {
+		b.extend(g)
+	}
+	if len(g.Shares) > 0 {
+		b.m.emit(SetShares{Shares: g.Shares})
+	}
+}
+
+func (b *member) adopt(v *view.View) {
+	next := *v
+	next.LeaseUntil = b.current.LeaseUntil
+	next.Stopping = b.current.Stopping
+	b.current = &next
+	b.m.emit(Publish{View: b.current})
+}
+
+// extend measures the lease from the moment the Renew was sent, shortened by
+// the bound on clock drift.
+func (b *member) extend(g Grant) {
+	drift := time.Duration(float64(g.Lease) * b.m.cfg.Timing.MaxClockDrift)
+	until := b.m.started.Add(g.Echo).Add(g.Lease - drift)
+	if until.After(b.current.LeaseUntil) {
+		b.publish(func(v *view.View) { v.LeaseUntil = until })
+	}
+}
+
+func (b *member) publish(change func(*view.View)) {
+	next := *b.current
+	change(&next)
+	b.current = &next
+	b.m.emit(Publish{View: b.current})
+}
--- /dev/null
+++ b/root/control/machine/message.go
@@ -0,0 +1,187 @@
+package machine
+
+import (
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// Message is one message between two processes of the system.
+type Message interface{ message() }
+
+// Renew asks the leader for a view lease and reports what the sender knows.
+type Renew struct {
+	VM fleet.VM
+	// SentAt is the sender's clock in nanoseconds since its start; the Grant echoes it.
+	SentAt time.Duration
+	// ViewTerm and ViewSeq name the view in force at the sender.
+	ViewTerm, ViewSeq uint64
+	TableVersion      uint64
+	// Heard are the backend servers that announced themselves to the sender.
+	Heard []fleet.Heard
+	// Loads are the sender's own requests in flight per backend server.
+	Loads []fleet.OwnLoad
+	// Demands are the sender's demand per class.
+	Demands []fleet.Demand
+	// Replica is the consensus identity of the sender; empty without a replica part.
+	Replica consensus.NodeID
+	// Stopped is set in the last Renew of a process that has drained.
+	Stopped bool
+}
+
+// Grant extends a view lease. View is set when the receiver's is not current.
+type Grant struct {
+	// Echo is SentAt of the Renew; Lease is 0 in a pushed view.
+	Echo  time.Duration
+	Lease time.Duration
+	Term  uint64
+	// Seq is the current view; a lease counts only once that view is in force.
+	Seq  uint64
+	View *view.View
+	// Shares are the receiver's shares of each class's fleet-wide limits.
+	Shares []fleet.Share
+}
+
+// NotLeader refuses a Renew (Proposal 0) or a Propose.
+type NotLeader struct {
+	// Leader is the VM believed to lead; empty when unknown.
+	Leader   string
+	Proposal uint64
+}
+
+// Propose asks the leader to commit a command.
+type Propose struct {
+	// ID is unique per sender incarnation; a resend carries the same one.
+	ID      uint64
+	Command replicated.Command
+}
+
+// Proposed answers a Propose once the command is committed and, for a change
+// of the table, in force everywhere.
+type Proposed struct {
+	ID     uint64
+	Result replicated.Result
+}
+
+// Log carries one message of the consensus core.
+type Log struct{ consensus.Message }
+
+func (Renew) message()     {}
+func (Grant) message()     {}
+func (NotLeader) message() {}
+func (Propose) message()   {}
+func (Proposed) message()  {}
+func (Log) message()       {}
+
+// Event is one input of the control thread.
+type Event interface{ event() }
+
+// Wake reports that the time named by NextWake has come.
+type Wake struct{}
+
+// Received is a message from another process.
+type Received struct {
+	From    string
+	Message Message
+}
+
+// Announced is an announcement of a backend server to this process.
+type Announced struct{ Server fleet.Server }
+
+// Submit asks for a command to be committed; Answer carries the same ID.
+type Submit struct {
+	ID      uint64
+	Command replicated.Command
+}
+
+// Traffic reports this process's own traffic.
+type Traffic struct {
+	InFlight int
+	Loads    []fleet.OwnLoad
+	Demands  []fleet.Demand
+}
+
+// Persisted reports that the write with this sequence number is durable.
+type Persisted struct{ Seq uint64 }
+
+// OrderDone reports what a backend server answered to an order.
+type OrderDone struct {
+	Server  string
+	Fence   uint64
+	Outcome OrderOutcome
+	// Observed is the role that the server reported; valid unless Outcome is OrderUnknown.
+	Observed fleet.Role
+}
+
+// Stop begins or advances the graceful stop.
+type Stop struct{ Phase StopPhase }
+
+func (Wake) event()      {}
+func (Received) event()  {}
+func (Announced) event() {}
+func (Submit) event()    {}
+func (Traffic) event()   {}
+func (Persisted) event() {}
+func (OrderDone) event() {}
+func (Stop) event()      {}
+
+// StopPhase is one step of the graceful stop.
+type StopPhase uint8
+
+// The phases in order.
+const (
+	// StopLeaving takes the VM out of the address answer; it still serves.
+	StopLeaving StopPhase = iota
+	// StopRefusing admits no new work.
+	StopRefusing
+	// StopDone gives up leases and leadership.
+	StopDone
+)
+
+// OrderOutcome is the result of an order as the sender knows it.
+type OrderOutcome uint8
+
+// The outcomes of an order.
+const (
+	OrderApplied OrderOutcome = iota
+	OrderRefused
+	OrderUnknown
+)
+
+// Effect is one thing that the control thread asks its surroundings to do.
+type Effect interface{ effect() }
+
+// Persist asks storage to write; Persisted reports back.
+type Persist struct{ Batch consensus.Persist }
+
+// Send asks the peers part to send; delivery is not assured.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Publish makes a view current for traffic.
+type Publish struct{ View *view.View }
+
+// SetShares hands traffic its shares of the fleet-wide limits.
+type SetShares struct{ Shares []fleet.Share }
+
+// Answer completes a Submit.
+type Answer struct {
+	ID     uint64
+	Result replicated.Result
+}
+
+// Halt stops the process: a durable invariant is broken.
+type Halt struct{ Err *fault.Error }
+
+func (Persist) effect()   {}
+func (Send) effect()      {}
+func (Publish) effect()   {}
+func (SetShares) effect() {}
+func (Answer) effect()    {}
+func (Halt) effect()      {}
