--- /dev/null
+++ b/root/peers/frame.go
@@ -0,0 +1,49 @@
+package peers
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+)
+
+const part = "peers"
+
+// maxFrameBytes bounds one frame; a snapshot must fit.
+const maxFrameBytes = 257 << 20
+
+// writeFrame writes a frame with its length in front.
+func writeFrame(w io.Writer, frame []byte) error {
+	if len(frame) > maxFrameBytes {
+		return fault.New(fault.TooLarge, part, "frame of %d bytes", len(frame))
+	}
+	head := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), uint64(len(frame)))
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	_, err := w.Write(frame)
+	return err
+}
+
+// readFrame reads one frame. The buffer grows with what arrives, so that a
+// wrong length alone takes no memory.
+func readFrame(r *bufio.Reader) ([]byte, error) {
+	n, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, err
+	}
+	if n > maxFrameBytes {
+		return nil, fault.New(fault.TooLarge, part, "frame of %d bytes", n)
+	}
+	if n <= uint64(r.Size()) {
+		frame := make([]byte, n)
+		_, err := io.ReadFull(r, frame)
+		return frame, err
+	}
+	frame, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err == nil && uint64(len(frame)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return frame, err
+}
--- /dev/null
+++ b/root/peers/peers.go
@@ -0,0 +1,245 @@
+// Package peers keeps yamux sessions between the system's own processes and
+// moves protobuf frames over them. Delivery is not assured: senders resend.
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wagtaildyke/wagtaildyke/api/codec"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+// Bounds on redialling a peer.
+const (
+	dialTimeout = 2 * time.Second
+	redialFirst = 50 * time.Millisecond
+	redialMost  = 1 * time.Second
+)
+
+// Peer is another process to dial.
+type Peer struct {
+	ID      string
+	Address string
+}
+
+// Deliver receives a message from a peer. It may block while the control
+// thread is busy.
+type Deliver func(ctx context.Context, from string, msg machine.Message)
+
+// Mesh holds the sessions of this process.
+type Mesh struct {
+	own     codec.Hello
+	deliver Deliver
+	log     logr.Logger
+	dialer  Dialer
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	live   map[string]*session
+
+	sentBytes, receivedBytes atomic.Uint64
+}
+
+// Dialer opens connections to peers, such as with TLS.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// PlainDialer dials TCP without TLS.
+func PlainDialer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// New returns a mesh without sessions.
+func New(own codec.Hello, dialer Dialer, deliver Deliver, log logr.Logger) *Mesh {
+	return &Mesh{
+		own:     own,
+		deliver: deliver,
+		dialer:  dialer,
+		log:     log,
+		queues:  map[string]*queue{},
+		live:    map[string]*session{},
+	}
+}
+
+// Send queues a message. It never blocks; a message to a peer without room in
+// its queue is dropped.
+func (m *Mesh) Send(to string, msg machine.Message) {
+	frame, err := codec.EncodeMessage(msg)
+	if err != nil {
+		m.log.Error(err, "a message can't be encoded", "peer", to)
+		return
+	}
+	m.sentBytes.Add(uint64(len(frame)))
+	m.queue(to).push(frame)
+}
+
+func (m *Mesh) queue(peer string) *queue {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	q := m.queues[peer]
+	if q == nil {
+		q = newQueue()
+		m.queues[peer] = q
+	}
+	return q
+}
+
+// serve runs one session. A newer session replaces an older one to the same peer.
+func (m *Mesh) serve(ctx context.Context, s *session) error {
+	id := s.peer.VM
+	q := m.replace(id, s)
+	defer m.remove(id, s)
+	m.log.V(1).Info("session opened", "peer", id)
+	err := s.run(ctx, q, func(frame []byte) { m.received(ctx, id, frame) })
+	m.log.V(1).Info("session closed", "peer", id)
+	return err
+}
+
+// replace makes s the session to a peer. The queue starts empty: what waited
+// for the old session is out of date.
+func (m *Mesh) replace(id string, s *session) *queue {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old := m.live[id]; old != nil {
+		old.mux.Close()
+	}
+	m.live[id] = s
+	q := newQueue()
+	m.queues[id] = q
+	return q
+}
+
+func (m *Mesh) remove(id string, s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.live[id] == s {
+		delete(m.live, id)
+		delete(m.queues, id)
+	}
+}
+
+func (m *Mesh) received(ctx context.Context, from string, frame []byte) {
+	m.receivedBytes.Add(uint64(len(frame)))
+	msg, err := codec.DecodeMessage(frame)
+	if err != nil {
+		m.log.Error(err, "dropped a frame that can't be decoded", "peer", from)
+		return
+	}
+	m.deliver(ctx, from, msg)
+}
+
+// Stats counts bytes of frames and open sessions.
+type Stats struct {
+	SentBytes     uint64 `json:"sent_bytes"`
+	ReceivedBytes uint64 `json:"received_bytes"`
+	Sessions      int    `json:"sessions"`
+}
+
+// Stats returns the counters.
+func (m *Mesh) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Stats{m.sentBytes.Load(), m.receivedBytes.Load(), len(m.live)}
+}
+
+// Link is the service that keeps a session to one peer.
+func (m *Mesh) Link(p Peer) *Link { return &Link{mesh: m, peer: p} }
+
+// Link dials one peer again whenever its session ends.
+type Link struct {
+	mesh *Mesh
+	peer Peer
+}
+
+// Serve runs until ctx ends.
+func (l *Link) Serve(ctx context.Context) error {
+	wait := redialFirst
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := l.once(ctx)
+		if time.Since(started) > redialMost {
+			wait = redialFirst
+		}
+		l.mesh.log.V(1).Info("peer is not connected", "peer", l.peer.ID, "reason", errText(err))
+		pause(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, redialMost)
+	}
+	return ctx.Err()
+}
+
+func (l *Link) once(ctx context.Context) error {
+	conn, err := l.mesh.dialer(ctx, l.peer.Address)
+	if err != nil {
+		return err
+	}
+	s, err := open(conn, l.mesh.own)
+	if err != nil {
+		conn.Close()
+		return err
+	}
+	if s.peer.VM != l.peer.ID {
+		s.mux.Close()
+		return errors.New("another VM answers at this address")
+	}
+	return l.mesh.serve(ctx, s)
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Acceptor is the service that accepts sessions on one listener.
+type Acceptor struct {
+	mesh *Mesh
+	ln   net.Listener
+}
+
+// Acceptor returns the service for ln. It closes ln when it ends.
+func (m *Mesh) Acceptor(ln net.Listener) *Acceptor { return &Acceptor{mesh: m, ln: ln} }
+
+// Serve runs until ctx ends.
+func (a *Acceptor) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { a.ln.Close() })
+	defer stop()
+	for {
+		conn, err := a.ln.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		go a.handle(ctx, conn)
+	}
+}
+
+func (a *Acceptor) handle(ctx context.Context, conn net.Conn) {
+	s, err := accept(conn, a.mesh.own)
+	if err != nil {
+		conn.Close()
+		a.mesh.log.V(1).Info("refused a session", "remote", conn.RemoteAddr().String(), "reason", err.Error())
+		return
+	}
+	// The end of a session needs no answer here: the dialling side opens the next one.
+	_ = a.mesh.serve(ctx, s)
+}
