--- /dev/null
+++ b/root/operator/table.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+)
+
+// Header fields of the table's protocol.
+const (
+	VersionHeader  = "Wagtaildyke-Table-Version"
+	ChangeIDHeader = "Wagtaildyke-Change-Id"
+	AuthorHeader   = "Wagtaildyke-Author"
+)
+
+// TableChanged is the answer to an accepted change.
+type TableChanged struct {
+	Version uint64 `json:"version"`
+	// InForce is true: the answer comes once the change is in force everywhere.
+	InForce bool `json:"in_force"`
+}
+
+// getTable answers with the table in force at this process as CSV.
+func (s *Server) getTable(w http.ResponseWriter, _ *http.Request) {
+	v := s.Views.Load()
+	if v == nil || v.Term == 0 {
+		s.refuse(w, fault.New(fault.NotReady, part, "this process has no view yet"))
+		return
+	}
+	var buf bytes.Buffer
+	if err := table.WriteCSV(&buf, v.Table.Classes); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "text/csv")
+	w.Header().Set(VersionHeader, strconv.FormatUint(v.Table.Version, 10))
+	_, _ = w.Write(buf.Bytes())
+}
+
+// putTable proposes a whole table as CSV in place of a named version.
+func (s *Server) putTable(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.Header.Get(VersionHeader), 10, 64)
+	if err != nil {
+		s.refuse(w, fault.New(fault.Invalid, part, "%s must be the version that the change was made from", VersionHeader))
+		return
+	}
+	id := r.Header.Get(ChangeIDHeader)
+	if id == "" {
+		s.refuse(w, fault.New(fault.Invalid, part, "%s is missing", ChangeIDHeader))
+		return
+	}
+	classes, err := table.ParseCSV(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	change := table.Change{ID: id, Base: base, Classes: classes, Author: r.Header.Get(AuthorHeader)}
+	if res, ok := s.submit(w, r, replicated.ChangeTable{Change: change}); ok {
+		s.Log.Info("the table changed", "version", res.Version, "author", change.Author)
+		writeJSON(w, TableChanged{Version: res.Version, InForce: true})
+	}
+}
