--- a/root/control/machine/proposals.go
+++ b/root/control/machine/proposals.go
@@ -48,7 +48,7 @@
 		return
 	}
 	delete(p.pending, msg.ID)
-	p.m.emit(Answer{ID: msg.ID, Result: msg.Result})
+	p.m.emit(Answer(msg))
 }
 
 // refused schedules a quick resend: the process asked was not the leader.
