--- a/root/fronts.go
+++ b/root/fronts.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
+	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
 	"github.com/wagtaildyke/wagtaildyke/root/peers"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
@@ -16,18 +16,21 @@
 
 // buildFronts adds the parts that listen for callers and operators.
 func (p *Process) buildFronts() error {
+	recorder := burn.New(burn.Options{VM: p.settings.VM, Views: p.views})
 	if p.settings.Entry != nil {
-		p.traffic = traffic.New(p.trafficOptions())
+		p.traffic = traffic.New(p.trafficOptions(recorder))
 	}
 	options, err := p.operatorOptions()
 	if err != nil {
 		return err
 	}
-	p.tree.Service("operator", operator.New(options))
+	options.Burn = recorder
+	node := p.tree.Service("operator", operator.New(options))
+	node.Passive("burn")
 	return nil
 }
 
-func (p *Process) trafficOptions() traffic.Options {
+func (p *Process) trafficOptions(recorder *burn.Recorder) traffic.Options {
 	limits := p.settings.Limits
 	return traffic.Options{
 		Ancestor:    p.tree,
@@ -49,8 +52,10 @@
 		},
 		AddressLifetime: p.settings.Entry.AddressLifetime(),
 		NewID:           randomID,
-		Served:          func(string, time.Duration) {},
-		Refused:         func(string, fault.Kind) {},
+		Served: func(class string, took time.Duration) {
+			recorder.Answered(class, burn.Timing{Whole: took})
+		},
+		Refused: recorder.Refused,
 	}
 }
 
--- a/root/operator/fleet.go
+++ b/root/operator/fleet.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -24,7 +23,9 @@
 
 // FleetVM is one VM.
 type FleetVM struct {
-	ID            string `json:"id"`
+	ID string `json:"id"`
+	// Incarnation names this process lifetime; confirm-dead wants it.
+	Incarnation   uint64 `json:"incarnation"`
 	Address       string `json:"address,omitempty"`
 	FailureDomain string `json:"failure_domain"`
 	State         string `json:"state"`
@@ -55,7 +56,14 @@
 		VMs: []FleetVM{}, Servers: []FleetEntry{},
 	}
 	for _, vm := range v.VMs {
-		out.VMs = append(out.VMs, FleetVM{vm.ID, vm.Address, vm.FailureDomain, vm.State.String(), vm.InFlight})
+		out.VMs = append(out.VMs, FleetVM{
+			ID:            vm.ID,
+			Incarnation:   vm.Incarnation,
+			Address:       vm.Address,
+			FailureDomain: vm.FailureDomain,
+			State:         vm.State.String(),
+			InFlight:      vm.InFlight,
+		})
 	}
 	for _, b := range v.Servers {
 		out.Servers = append(out.Servers, fleetEntry(b))
@@ -86,8 +94,8 @@
 
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
 	var req DrainRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
-		s.refuse(w, fault.New(fault.Invalid, part, "the body is not a drain request: %v", err))
+	if err := readJSON(w, r, &req); err != nil {
+		s.refuse(w, err)
 		return
 	}
 	if _, ok := s.submit(w, r, replicated.SetDrain{ID: req.ID, Draining: req.Draining, By: req.By}); ok {
--- a/root/operator/operator.go
+++ b/root/operator/operator.go
@@ -16,7 +16,9 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
@@ -27,6 +29,13 @@
 	Submit(ctx context.Context, cmd replicated.Command) (replicated.Result, error)
 }
 
+// Reader reads replicated state that views don't carry.
+type Reader interface {
+	// History returns the accepted changes of the table, oldest first. The error
+	// is of kind fault.NoQuorum or fault.NotLeader when the state can't be read.
+	History(ctx context.Context) ([]table.Record, error)
+}
+
 // Options configure the operator part.
 type Options struct {
 	Listener net.Listener
@@ -35,7 +44,10 @@
 	VM        string
 	Views     *view.Store
 	Submitter Submitter
-	Tree      func() supervise.Info
+	// Reader is nil in a process that can't read replicated state.
+	Reader Reader
+	Burn   *burn.Recorder
+	Tree   func() supervise.Info
 	// Metrics are published under /debug/vars beside those of the process.
 	Metrics func() any
 	Log     logr.Logger
@@ -63,7 +75,11 @@
 	r.Get("/v1/fleet", s.fleet)
 	r.Get("/v1/table", s.getTable)
 	r.Put("/v1/table", s.putTable)
+	r.Get("/v1/table/history", s.history)
 	r.Post("/v1/drains", s.drain)
+	r.Post("/v1/confirmations", s.confirmDead)
+	r.Put("/v1/fencing", s.setFencing)
+	r.Get("/v1/report", s.report)
 	r.Get("/debug/vars", s.vars)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, fault.New(fault.NotFound, part, "no such path: %s", r.URL.Path))
@@ -113,20 +129,32 @@
 	writeJSON(w, map[string]Refusal{"error": {e.Kind.String(), e.Ran.String(), e.Error()}})
 }
 
+// readJSON decodes a bounded body without unknown fields.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return fault.New(fault.Invalid, part, "the body is not as it should be: %v", err)
+	}
+	return nil
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	// An operator that has gone can't be told.
 	_ = enc.Encode(v)
 }
 
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Burn.Snapshot()) }
+
 func (s *Server) tree(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Tree()) }
 
 // vars shows the process's expvar metrics and this part's own.
 func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
 	out := map[string]any{"wagtaildyke": s.Metrics()}
 	expvar.Do(func(kv expvar.KeyValue) { out[kv.Key] = json.RawMessage(kv.Value.String()) })
-	w.Header().Set("Content-Type", "application/json")
 	writeJSON(w, out)
 }
 
--- a/root/operator/table.go
+++ b/root/operator/table.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -64,3 +67,39 @@
 		writeJSON(w, TableChanged{Version: res.Version, InForce: true})
 	}
 }
+
+// TableRecord is one accepted change.
+type TableRecord struct {
+	Version  uint64    `json:"version"`
+	ChangeID string    `json:"change_id"`
+	Author   string    `json:"author"`
+	At       time.Time `json:"at"`
+	// Table is the whole table after the change as CSV.
+	Table string `json:"table"`
+}
+
+// history answers with the accepted changes that are still kept, oldest first.
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	if s.Reader == nil {
+		s.refuse(w, fault.New(fault.Unavailable, part,
+			"this daemon has no replica: ask one on a VM with a data folder").WithRan(fault.RanNo))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	records, err := s.Reader.History(ctx)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	out := []TableRecord{}
+	for _, rec := range records {
+		var csv strings.Builder
+		if err := table.WriteCSV(&csv, rec.Classes); err != nil {
+			s.refuse(w, err)
+			return
+		}
+		out = append(out, TableRecord{rec.Version, rec.ID, rec.Author, time.UnixMilli(rec.At).UTC(), csv.String()})
+	}
+	writeJSON(w, out)
+}
