--- a/cmd/wagtaildyke/client.go
+++ b/cmd/wagtaildyke/client.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -29,7 +31,14 @@
 			Name: "operator", Value: "http://127.0.0.1:9090", Sources: cli.EnvVars("WAGTAILDYKE_OPERATOR"),
 			Usage: "base `URL` of a daemon's operator listener",
 		},
-		&cli.StringFlag{Name: "token-file", Sources: cli.EnvVars("WAGTAILDYKE_TOKEN_FILE"), Usage: "`file` with the bearer token"},
+		tokenFlag(),
+	}
+}
+
+func tokenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "token-file", Sources: cli.EnvVars("WAGTAILDYKE_TOKEN_FILE"),
+		Usage: "`file` with the bearer token",
 	}
 }
 
@@ -42,17 +51,20 @@
 }
 
 func newClient(c *cli.Command) (*client, error) {
-	cl := &client{base: strings.TrimSuffix(c.String("operator"), "/")}
+	token, err := readToken(c)
+	return &client{base: strings.TrimSuffix(c.String("operator"), "/"), token: token}, err
+}
+
+func readToken(c *cli.Command) (string, error) {
 	file := c.String("token-file")
 	if file == "" {
-		return cl, nil
+		return "", nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, part, "token file")
+		return "", fault.Wrap(err, fault.Invalid, part, "token file")
 	}
-	cl.token = strings.TrimSpace(string(data))
-	return cl, nil
+	return strings.TrimSpace(string(data)), nil
 }
 
 // call is one request to the operator listener.
@@ -83,7 +95,7 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return reply{}, fault.Wrap(err, fault.Unavailable, part, "the daemon did not answer")
+		return reply{}, noAnswer(err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
@@ -96,6 +108,15 @@
 	return reply{header: resp.Header, body: body}, nil
 }
 
+// noAnswer maps a failed exchange. A refused connection proves that nothing ran.
+func noAnswer(err error) error {
+	out := fault.Wrap(err, fault.Unavailable, part, "the daemon did not answer")
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return out.WithRan(fault.RanNo)
+	}
+	return out
+}
+
 // refusalFrom turns a refusal's JSON back into its typed error.
 func refusalFrom(status int, body []byte) error {
 	var r struct {
@@ -128,3 +149,21 @@
 	}
 	return r.body, nil
 }
+
+// show fetches JSON and prints it as it is with --json, or else by print.
+func show[T any](ctx context.Context, c *cli.Command, path string, print func(io.Writer, T) error) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	var v T
+	raw, err := cl.get(ctx, path, &v)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		_, err = stdout(c).Write(raw)
+		return err
+	}
+	return print(stdout(c), v)
+}
--- a/cmd/wagtaildyke/fleet.go
+++ b/cmd/wagtaildyke/fleet.go
@@ -23,20 +23,7 @@
 		Description: "Example: wagtaildyke fleet --json",
 		Flags:       append(operatorFlags(), jsonFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			cl, err := newClient(c)
-			if err != nil {
-				return err
-			}
-			var f operator.Fleet
-			raw, err := cl.get(ctx, "/v1/fleet", &f)
-			if err != nil {
-				return err
-			}
-			if c.Bool("json") {
-				_, err = c.Root().Writer.Write(raw)
-				return err
-			}
-			return printFleet(c.Root().Writer, f)
+			return show(ctx, c, "/v1/fleet", printFleet)
 		},
 	}
 }
@@ -44,41 +31,48 @@
 func printFleet(out io.Writer, f operator.Fleet) error {
 	fmt.Fprintf(out, "seen by %s: term %d, table version %d, ready %t\n", f.VM, f.Term, f.TableVersion, f.Ready)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "VM\tSTATE\tFAILURE DOMAIN\tIN FLIGHT\tADDRESS")
+	fmt.Fprintln(w, "VM\tSTATE\tFAILURE DOMAIN\tIN FLIGHT\tADDRESS\tINCARNATION")
 	for _, vm := range f.VMs {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", vm.ID, vm.State, vm.FailureDomain, vm.InFlight, vm.Address)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\n",
+			vm.ID, vm.State, vm.FailureDomain, vm.InFlight, dash(vm.Address), vm.Incarnation)
 	}
-	fmt.Fprintln(w, "BACKEND SERVER\tSTATE\tFAILURE DOMAIN\tRUNNING\tADDRESS\tROLE\tOFFERS")
+	fmt.Fprintln(w, "BACKEND SERVER\tSTATE\tFAILURE DOMAIN\tRUNNING\tADDRESS\tROLE\tFENCING\tOFFERS")
 	for _, s := range f.Servers {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\n",
-			s.ID, s.State, s.FailureDomain, s.Running, s.Slots, s.Address, s.Role, strings.Join(s.Targets, " "))
+		fencing := wordIgnores
+		if s.ChecksFencing {
+			fencing = wordChecks
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\t%s\n",
+			s.ID, s.State, s.FailureDomain, s.Running, s.Slots, s.Address, s.Role, fencing, strings.Join(s.Targets, " "))
 	}
 	return w.Flush()
 }
 
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "drain",
 		Usage:       "give a VM or backend server no new work, or undo that",
 		ArgsUsage:   "ID",
 		Description: "Example: wagtaildyke drain engine-7\nExample: wagtaildyke drain --undo engine-7",
-		Flags:       append(operatorFlags(), &cli.BoolFlag{Name: "undo", Usage: "end the drain"}),
+		Flags:       append(operatorFlags(), &cli.BoolFlag{Name: "undo", Usage: "end the drain"}, authorFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.Args().Len() != 1 {
-				return fault.New(fault.Invalid, part, "drain takes one VM or backend server")
-			}
-			cl, err := newClient(c)
+			id, err := oneArg(c, "VM or backend server")
 			if err != nil {
 				return err
 			}
-			req := operator.DrainRequest{ID: c.Args().First(), Draining: !c.Bool("undo"), By: author("")}
-			// A struct of plain fields always encodes.
-			body, _ := json.Marshal(req)
-			if _, err := cl.do(ctx, call{method: http.MethodPost, path: "/v1/drains", body: body}); err != nil {
+			req := operator.DrainRequest{ID: id, Draining: !c.Bool("undo"), By: author(c)}
+			if err := send(ctx, c, http.MethodPost, "/v1/drains", req); err != nil {
 				return err
 			}
-			fmt.Fprintf(c.Root().Writer, "%s: draining %t\n", req.ID, req.Draining)
-			return nil
+			_, err = fmt.Fprintf(stdout(c), "%s: draining %t\n", req.ID, req.Draining)
+			return err
 		},
 	}
 }
@@ -90,21 +84,10 @@
 		Description: "Example: wagtaildyke tree --operator http://127.0.0.1:9090",
 		Flags:       append(operatorFlags(), jsonFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			cl, err := newClient(c)
-			if err != nil {
-				return err
-			}
-			var info supervise.Info
-			raw, err := cl.get(ctx, "/v1/tree", &info)
-			if err != nil {
-				return err
-			}
-			if c.Bool("json") {
-				_, err = c.Root().Writer.Write(raw)
-				return err
-			}
-			printTree(c.Root().Writer, info, 0)
-			return nil
+			return show(ctx, c, "/v1/tree", func(out io.Writer, info supervise.Info) error {
+				printTree(out, info, 0)
+				return nil
+			})
 		},
 	}
 }
@@ -154,7 +137,7 @@
 				return err
 			}
 			if c.Bool("json") {
-				_, err = c.Root().Writer.Write(r.body)
+				_, err = stdout(c).Write(r.body)
 				return err
 			}
 			var a addressAnswer
@@ -162,9 +145,9 @@
 				return fault.Wrap(err, fault.Internal, part, "the answer is not JSON")
 			}
 			for _, e := range a.Addresses {
-				fmt.Fprintf(c.Root().Writer, "%s\t%s\n", e.Address, e.FailureDomain)
+				fmt.Fprintf(stdout(c), "%s\t%s\n", e.Address, e.FailureDomain)
 			}
-			fmt.Fprintf(c.Root().Writer, "keep for %d seconds\n", a.LifetimeSeconds)
+			fmt.Fprintf(stdout(c), "keep for %d seconds\n", a.LifetimeSeconds)
 			return nil
 		},
 	}
--- a/cmd/wagtaildyke/serve.go
+++ b/cmd/wagtaildyke/serve.go
@@ -30,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			p, err := root.Open(s, newLogger(s.Log))
+			p, err := root.Open(s, newLogger(stderr(c), s.Log))
 			if err != nil {
 				return err
 			}
@@ -65,7 +65,7 @@
 			if err := storage.Format(s.Replica.DataFolder, id); err != nil {
 				return err
 			}
-			fmt.Fprintf(c.Root().Writer, "formatted %s for %s\n", s.Replica.DataFolder, id.Replica)
+			fmt.Fprintf(stdout(c), "formatted %s for %s\n", s.Replica.DataFolder, id.Replica)
 			return nil
 		},
 	}
@@ -84,8 +84,8 @@
 			return demo.Run(ctx, demo.Options{
 				Listen: c.String("listen"),
 				Data:   c.String("data"),
-				Out:    c.Root().Writer,
-				Log:    newLogger(settings.Log{Format: "text", Level: "info"}),
+				Out:    stdout(c),
+				Log:    newLogger(stderr(c), settings.Log{Format: "text", Level: "info"}),
 			})
 		},
 	}
@@ -100,16 +100,21 @@
 			Usage:       "check a settings file and say what is wrong with it",
 			Description: "Example: wagtaildyke settings check vm-1.jsonc",
 			ArgsUsage:   "FILE",
+			Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print the settings with all defaults as JSON"}},
 			Action: func(_ context.Context, c *cli.Command) error {
-				if c.Args().Len() != 1 {
-					return fault.New(fault.Invalid, part, "settings check takes one file")
+				file, err := oneArg(c, "settings file")
+				if err != nil {
+					return err
 				}
-				s, err := settings.Load(c.Args().First())
+				s, err := settings.Load(file)
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(c.Root().Writer, "%s: good settings for VM %s of %s\n", c.Args().First(), s.VM, s.Cluster)
-				return nil
+				if c.Bool("json") {
+					return printJSON(stdout(c), s)
+				}
+				_, err = fmt.Fprintf(stdout(c), "%s: good settings for VM %s of %s\n", file, s.VM, s.Cluster)
+				return err
 			},
 		}},
 	}
--- a/cmd/wagtaildyke/standin.go
+++ b/cmd/wagtaildyke/standin.go
@@ -61,9 +61,9 @@
 		ChecksFencing: c.Bool("checks-fencing"),
 		Entries:       c.StringSlice("entry"),
 		Address:       "http://" + ln.Addr().String(),
-		Log:           newLogger(settings.Log{Format: "text", Level: "info"}).WithName("standin"),
+		Log:           newLogger(stderr(c), settings.Log{Format: "text", Level: "info"}).WithName("standin"),
 	})
-	fmt.Fprintf(c.Root().Writer, "standin %s\n", s.Address)
+	fmt.Fprintf(stdout(c), "standin %s\n", s.Address)
 	return serveStandin(ctx, s, ln)
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,7 +18,6 @@
 	"github.com/wagtaildyke/wagtaildyke/root"
 	"github.com/wagtaildyke/wagtaildyke/root/storage"
 	"github.com/wagtaildyke/wagtaildyke/settings"
-	"github.com/wagtaildyke/wagtaildyke/standin"
 )
 
 const part = "demo"
@@ -29,7 +26,8 @@
 type Options struct {
 	// Listen is the address of the first entry.
 	Listen string
-	// Data is the data folder; empty for a temporary one.
+	// Data is the data folder; empty for a temporary one. A folder that a demo
+	// has used before is used again with its table.
 	Data string
 	Out  io.Writer
 	Log  logr.Logger
@@ -43,17 +41,10 @@
 	tokenInterval = 20 * time.Millisecond
 	prefillRate   = 20_000
 	startLimit    = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
 	drainSeconds  = 10
 )
 
-// tableCSV is the table that the demo starts with.
-const tableCSV = `class,weight,place,concurrency,rate_per_second,queue,tokens,deadline_ms,targets,idempotent
-short,3,0,16,50,64,0,10000,assistant,yes
-summary,1,1,16,20,64,0,60000,assistant,yes
-lookup,1,0,16,100,64,0,5000,stock,yes
-order,1,0,8,20,32,0,15000,stock,no
-`
-
 // Run serves the demo until ctx ends, then stops it gracefully.
 func Run(ctx context.Context, o Options) error {
 	data, remove, err := dataFolder(o.Data)
@@ -62,9 +53,8 @@
 	}
 	defer remove()
 	c := &cluster{o: o, data: data}
-	defer c.stopServers()
 	if err := c.open(); err != nil {
-		return err
+		return errors.Join(err, c.abandon())
 	}
 	return c.serve(ctx)
 }
@@ -85,7 +75,6 @@
 	o         Options
 	data      string
 	processes []*root.Process
-	servers   []*http.Server
 }
 
 // open binds all listeners first, so that members know each other's addresses.
@@ -97,16 +86,14 @@
 	members := make([]settings.Member, vms)
 	for i, l := range bound {
 		members[i] = settings.Member{
-			VM: vmName(i), FailureDomain: domain(i), Address: l.Peers.Addr().String(), Replica: true,
+			VM: vmName(i), FailureDomain: domain(i), Address: l.Peers.Addr().String(),
+			Operator: l.Operator.Addr().String(), Replica: true,
 		}
 	}
 	for i, l := range bound {
-		s := c.settings(i, members)
-		if err := formatOnce(s); err != nil {
-			return err
-		}
-		p, err := root.OpenOn(s, l, c.o.Log.WithName(s.VM))
+		p, err := c.openOne(c.settings(i, members), l)
 		if err != nil {
+			closeAll(bound[i:])
 			return err
 		}
 		c.processes = append(c.processes, p)
@@ -114,6 +101,21 @@
 	return nil
 }
 
+func (c *cluster) openOne(s *settings.Settings, l root.Listeners) (*root.Process, error) {
+	if err := formatOnce(s); err != nil {
+		return nil, err
+	}
+	// The logger keeps the path in the tree as its prefix; the VM is a field.
+	return root.OpenOn(s, l, c.o.Log.WithValues("daemon", s.VM))
+}
+
+// abandon stops the processes that were opened before another one failed.
+func (c *cluster) abandon() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return join(c.serveAll(ctx), len(c.processes))
+}
+
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
 
 func domain(i int) string { return string(rune('a' + i%vms)) }
@@ -131,9 +133,7 @@
 			Entry:    &settings.Entry{Listen: entry},
 		})
 		if err != nil {
-			for _, bound := range out {
-				bound.Close()
-			}
+			closeAll(out)
 			return nil, err
 		}
 		out = append(out, l)
@@ -141,6 +141,12 @@
 	return out, nil
 }
 
+func closeAll(bound []root.Listeners) {
+	for _, l := range bound {
+		l.Close()
+	}
+}
+
 func (c *cluster) settings(i int, members []settings.Member) *settings.Settings {
 	s := settings.Defaults()
 	s.Cluster = "demo"
@@ -165,27 +171,39 @@
 	return err
 }
 
-// serve runs everything, prints how to use it, and stops with ctx.
-func (c *cluster) serve(ctx context.Context) error {
+// serveAll serves every process and returns the channel of their ends.
+func (c *cluster) serveAll(ctx context.Context) <-chan error {
 	done := make(chan error, len(c.processes))
-	processCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	for _, p := range c.processes {
-		go func() { done <- p.Serve(processCtx) }()
+		go func() { done <- p.Serve(ctx) }()
 	}
-	if err := c.start(ctx); err != nil && ctx.Err() == nil {
-		stop()
-		return errors.Join(err, join(done, len(c.processes)))
+	return done
+}
+
+// serve runs everything, prints how to use it, and stops with ctx. Stand-ins
+// stop last, so that the requests in flight end whole.
+func (c *cluster) serve(ctx context.Context) error {
+	processCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := c.serveAll(processCtx)
+	servers, err := c.startServers()
+	defer servers.stop()
+	if err == nil {
+		err = c.start(ctx)
 	}
-	var early error
 	left := len(c.processes)
-	select {
-	case <-ctx.Done():
-	case early = <-done:
-		left--
+	if err == nil {
+		select {
+		case <-ctx.Done():
+		case err = <-done:
+			left--
+		}
+	} else if ctx.Err() != nil {
+		// A stop during the start is no failure.
+		err = nil
 	}
 	stop()
-	return errors.Join(early, join(done, left))
+	return errors.Join(err, join(done, left))
 }
 
 func join(done <-chan error, n int) error {
@@ -196,95 +214,22 @@
 	return errors.Join(all...)
 }
 
-// start adds backend servers and the table, then says that the demo is ready.
+// start waits for the fleet, sets the first table, and says that the demo is ready.
 func (c *cluster) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	if err := c.startServers(ctx); err != nil {
-		return err
-	}
-	if err := c.putTable(ctx); err != nil {
-		return err
-	}
 	if err := c.awaitReady(ctx); err != nil {
 		return err
 	}
-	c.announce()
-	return nil
-}
-
-func (c *cluster) announce() {
-	for _, p := range c.processes {
-		fmt.Fprintf(c.o.Out, "entry %s\n", p.EntryURL())
-	}
-	fmt.Fprintf(c.o.Out, "operator %s\n", c.processes[0].OperatorURL())
-	fmt.Fprintln(c.o.Out, "ready")
-	fmt.Fprintf(c.o.Out, "try: curl -N %s/v1/chat/completions -d '%s'\n", c.processes[0].EntryURL(),
-		`{"model":"assistant","stream":true,"messages":[{"role":"user","content":"Which colour matches?"}]}`)
-}
-
-func (c *cluster) startServers(ctx context.Context) error {
-	for i := range engines {
-		o := standin.Options{ID: fmt.Sprintf("engine-%d", i+1), Models: []string{"assistant"}}
-		if err := c.startServer(ctx, o, i); err != nil {
-			return err
-		}
-	}
-	return c.startServer(ctx, standin.Options{ID: "stock-1", Services: []string{"stock"}}, 0)
-}
-
-func (c *cluster) startServer(ctx context.Context, o standin.Options, i int) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, part, "stand-in listener")
-	}
-	o.FailureDomain = domain(i)
-	o.Slots = slots
-	o.TokenInterval = tokenInterval
-	o.PrefillRate = prefillRate
-	o.Address = "http://" + ln.Addr().String()
-	o.Log = c.o.Log.WithName("standin")
-	for _, p := range c.processes {
-		o.Entries = append(o.Entries, p.EntryURL())
-	}
-	s := standin.New(o)
-	server := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
-	c.servers = append(c.servers, server)
-	// Serve ends when the demo closes the server.
-	go func() { _ = server.Serve(ln) }()
-	go s.Announce(context.WithoutCancel(ctx))
-	return nil
-}
-
-func (c *cluster) stopServers() {
-	for _, s := range c.servers {
-		s.Close()
-	}
-}
-
-func (c *cluster) putTable(ctx context.Context) error {
-	url := c.processes[0].OperatorURL() + "/v1/table"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, strings.NewReader(tableCSV))
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, part, "table request")
-	}
-	req.Header.Set("Wagtaildyke-Table-Version", "0")
-	req.Header.Set("Wagtaildyke-Change-Id", "demo")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, part, "table request")
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil || (resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict) {
-		return fault.New(fault.Unavailable, part, "the table was refused: %s", text)
+	if err := c.putFirstTable(ctx); err != nil {
+		return err
 	}
-	return nil
+	return c.announce()
 }
 
 // awaitReady waits until every entry has a live view with all servers.
 func (c *cluster) awaitReady(ctx context.Context) error {
-	t := time.NewTicker(20 * time.Millisecond)
+	t := time.NewTicker(readyInterval)
 	defer t.Stop()
 	for _, p := range c.processes {
 		for !p.Ready(engines + 1) {
@@ -297,3 +242,19 @@
 	}
 	return nil
 }
+
+// announce prints the addresses, the line "ready", and a command to try.
+func (c *cluster) announce() error {
+	var b strings.Builder
+	for _, p := range c.processes {
+		fmt.Fprintf(&b, "entry %s\n", p.EntryURL())
+	}
+	for _, p := range c.processes {
+		fmt.Fprintf(&b, "operator %s\n", p.OperatorURL())
+	}
+	fmt.Fprintln(&b, "ready")
+	fmt.Fprintf(&b, "try: curl -N %s/v1/chat/completions -d '%s'\n", c.processes[0].EntryURL(),
+		`{"model":"assistant","stream":true,"messages":[{"role":"user","content":"Which colour matches?"}]}`)
+	_, err := io.WriteString(c.o.Out, b.String())
+	return err
+}
--- a/root/operator/burn/window.go
+++ b/root/operator/burn/window.go
@@ -8,16 +8,16 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 )
 
-// slotsPerWindow is the number of slots that a window rotates through. A window
+// SlotsPerWindow is the number of slots that a window rotates through. A window
 // covers between its length less one slot and its length.
-const slotsPerWindow = 12
+const SlotsPerWindow = 12
 
 // windowLengths are the windows of the report. Slots of a longer window are
 // whole multiples of those of a shorter one.
 var windowLengths = [...]time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour}
 
 // liveWidth is the span that is recorded before it is added to the windows.
-const liveWidth = 5 * time.Minute / slotsPerWindow
+const liveWidth = 5 * time.Minute / SlotsPerWindow
 
 // slot holds the outcomes of one span that starts at a multiple of its width.
 type slot struct {
@@ -31,7 +31,7 @@
 	slots  []slot
 }
 
-func (w *window) width() time.Duration { return w.length / slotsPerWindow }
+func (w *window) width() time.Duration { return w.length / SlotsPerWindow }
 
 // add merges counts into the slot of their time. A clock that went back adds to
 // the newest slot.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,9 @@
 	Address string `json:"address"`
 	// Replica says that the VM has a disk and holds the replicated log.
 	Replica bool `json:"replica"`
+	// Operator is host:port of the VM's operator listener, for reports over all
+	// members; it may be empty.
+	Operator string `json:"operator"`
 }
 
 // Peers sets the sessions between the system's own processes.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -50,6 +50,11 @@
 		if err := checkHostPort(src, at+"/address", m.Address); err != nil {
 			return err
 		}
+		if m.Operator != "" {
+			if err := checkHostPort(src, at+"/operator", m.Operator); err != nil {
+				return err
+			}
+		}
 		if m.Replica {
 			replicas++
 		}
