--- a/cmd/wagtaildyke/log.go
+++ b/cmd/wagtaildyke/log.go
@@ -10,12 +10,16 @@
 	"github.com/wagtaildyke/wagtaildyke/settings"
 )
 
-// Keys of the fields that logr adds and of the one that JSON lines carry.
+// loggerKey is the field in which logr names the logger, and partKey the one
+// that JSON lines carry instead.
 const (
 	loggerKey = "logger"
 	partKey   = "part"
 )
 
+// rootPart names the root of the supervisor tree, whose path is empty.
+const rootPart = "root"
+
 // newLogger returns a logger over slog. The path of a part in the supervisor
 // tree stands before the message in text and in the field "part" in JSON.
 func newLogger(out io.Writer, s settings.Log) logr.Logger {
@@ -24,43 +28,49 @@
 		opts.Level = slog.LevelDebug
 	}
 	if s.Format == "json" {
-		opts.ReplaceAttr = renameLogger
-		return logr.FromSlogHandler(slog.NewJSONHandler(out, opts))
+		return logr.FromSlogHandler(parts{next: slog.NewJSONHandler(out, opts), field: true})
 	}
-	return logr.FromSlogHandler(prefixer{slog.NewTextHandler(out, opts)})
+	return logr.FromSlogHandler(parts{next: slog.NewTextHandler(out, opts)})
 }
 
-func renameLogger(_ []string, a slog.Attr) slog.Attr {
-	if a.Key == loggerKey {
-		a.Key = partKey
-	}
-	return a
+// parts moves the logger's name to where the log shows parts.
+type parts struct {
+	next slog.Handler
+	// field is set for a field of its own instead of a prefix.
+	field bool
 }
 
-// prefixer puts the logger's name before the message.
-type prefixer struct{ next slog.Handler }
-
 // Enabled reports whether the level is logged.
-func (p prefixer) Enabled(ctx context.Context, l slog.Level) bool { return p.next.Enabled(ctx, l) }
+func (p parts) Enabled(ctx context.Context, l slog.Level) bool { return p.next.Enabled(ctx, l) }
 
 // Handle writes one record.
-func (p prefixer) Handle(ctx context.Context, r slog.Record) error {
-	out := slog.NewRecord(r.Time, r.Level, r.Message, r.PC)
+func (p parts) Handle(ctx context.Context, r slog.Record) error {
+	part := rootPart
+	var rest []slog.Attr
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == loggerKey {
-			out.Message = a.Value.String() + ": " + r.Message
+			part = a.Value.String()
 		} else {
-			out.AddAttrs(a)
+			rest = append(rest, a)
 		}
 		return true
 	})
+	message := part + ": " + r.Message
+	if p.field {
+		message = r.Message
+		rest = append([]slog.Attr{slog.String(partKey, part)}, rest...)
+	}
+	out := slog.NewRecord(r.Time, r.Level, message, r.PC)
+	out.AddAttrs(rest...)
 	return p.next.Handle(ctx, out)
 }
 
 // WithAttrs returns a handler that adds fields.
-func (p prefixer) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return prefixer{p.next.WithAttrs(attrs)}
+func (p parts) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return parts{next: p.next.WithAttrs(attrs), field: p.field}
 }
 
 // WithGroup returns a handler that groups fields.
-func (p prefixer) WithGroup(name string) slog.Handler { return prefixer{p.next.WithGroup(name)} }
+func (p parts) WithGroup(name string) slog.Handler {
+	return parts{next: p.next.WithGroup(name), field: p.field}
+}
--- a/cmd/wagtaildyke/reporthtml.go
+++ b/cmd/wagtaildyke/reporthtml.go
@@ -205,6 +205,8 @@
 	newest := at.Truncate(length / burn.SlotsPerWindow)
 	for _, pt := range c.Points {
 		back := newest.Sub(pt.Start) / (length / burn.SlotsPerWindow)
+		// Clocks of VMs differ a little.
+		back = min(max(back, 0), burn.SlotsPerWindow-1)
 		x := plotWidth - step*float64(back+1)
 		y := plotHeight
 		for _, part := range []struct {
--- a/cmd/wagtaildyke/serve.go
+++ b/cmd/wagtaildyke/serve.go
@@ -93,8 +93,9 @@
 
 func settingsCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "settings",
-		Usage: "check settings files",
+		Name:        "settings",
+		Usage:       "check settings files",
+		Description: "Example: wagtaildyke settings check vm-1.jsonc",
 		Commands: []*cli.Command{{
 			Name:        "check",
 			Usage:       "check a settings file and say what is wrong with it",
--- a/cmd/wagtaildyke/table.go
+++ b/cmd/wagtaildyke/table.go
@@ -22,9 +22,10 @@
 
 func tableCommand() *cli.Command {
 	return &cli.Command{
-		Name:     "table",
-		Usage:    "read and change the table of classes",
-		Commands: []*cli.Command{tableGetCommand(), tablePutCommand(), tableHistoryCommand()},
+		Name:        "table",
+		Usage:       "read and change the table of classes",
+		Description: "Example: wagtaildyke table get > table.csv",
+		Commands:    []*cli.Command{tableGetCommand(), tablePutCommand(), tableHistoryCommand()},
 	}
 }
 
--- a/root/fronts.go
+++ b/root/fronts.go
@@ -1,9 +1,11 @@
 package root
 
 import (
+	"runtime"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
 	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
 	"github.com/wagtaildyke/wagtaildyke/root/peers"
@@ -61,20 +63,40 @@
 
 // metrics is what this process shows under /debug/vars.
 type metrics struct {
-	VM       string         `json:"vm"`
-	Control  loop.Stats     `json:"control"`
-	Peers    peers.Stats    `json:"peers"`
-	Dispatch dispatch.Stats `json:"dispatch"`
-	Engine   engine.Stats   `json:"engine"`
-	InFlight int            `json:"in_flight"`
+	VM            string         `json:"vm"`
+	Incarnation   uint64         `json:"incarnation"`
+	UptimeSeconds int64          `json:"uptime_seconds"`
+	Goroutines    int            `json:"goroutines"`
+	View          viewMetrics    `json:"view"`
+	Control       loop.Stats     `json:"control"`
+	Peers         peers.Stats    `json:"peers"`
+	Dispatch      dispatch.Stats `json:"dispatch"`
+	Engine        engine.Stats   `json:"engine"`
+	InFlight      int            `json:"in_flight"`
+}
+
+// viewMetrics describe the view in force at this process.
+type viewMetrics struct {
+	Term         uint64 `json:"term"`
+	Seq          uint64 `json:"seq"`
+	TableVersion uint64 `json:"table_version"`
+	Ready        bool   `json:"ready"`
+	// LeaseMillis is the rest of the lease; it is negative once it ran out.
+	LeaseMillis int64          `json:"lease_ms"`
+	VMs         map[string]int `json:"vms_by_state"`
+	Servers     map[string]int `json:"backend_servers_by_state"`
 }
 
 func (p *Process) metrics() any {
 	out := metrics{
-		VM:       p.settings.VM,
-		Control:  p.loop.Stats(),
-		Peers:    p.mesh.Stats(),
-		Dispatch: p.dispatcher.Stats(),
+		VM:            p.settings.VM,
+		Incarnation:   p.incarnation,
+		UptimeSeconds: int64(time.Since(time.Unix(0, int64(p.incarnation))) / time.Second),
+		Goroutines:    runtime.NumGoroutine(),
+		View:          describe(p.views.Load(), time.Now()),
+		Control:       p.loop.Stats(),
+		Peers:         p.mesh.Stats(),
+		Dispatch:      p.dispatcher.Stats(),
 	}
 	if p.traffic != nil {
 		out.Engine = p.traffic.Engine.Stats()
@@ -83,6 +105,23 @@
 	return out
 }
 
+func describe(v *view.View, now time.Time) viewMetrics {
+	out := viewMetrics{VMs: map[string]int{}, Servers: map[string]int{}}
+	if v == nil {
+		return out
+	}
+	out.Term, out.Seq, out.TableVersion = v.Term, v.Seq, v.Table.Version
+	out.Ready = v.Ready(now)
+	out.LeaseMillis = v.LeaseUntil.Sub(now).Milliseconds()
+	for _, vm := range v.VMs {
+		out.VMs[vm.State.String()]++
+	}
+	for _, s := range v.Servers {
+		out.Servers[s.State.String()]++
+	}
+	return out
+}
+
 // Ready reports whether this process may take new work and sees at least the
 // given number of backend servers.
 func (p *Process) Ready(servers int) bool {
--- a/root/operator/burn/recorder.go
+++ b/root/operator/burn/recorder.go
@@ -80,7 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roll(now)
-	s.live.answered(t, !known || t.Whole <= c.Deadline)
+	s.answered(t, !known || t.Whole <= c.Deadline)
 }
 
 // Refused records a refusal, or an answer that was cut.
@@ -91,7 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roll(now)
-	s.live.refused(kind)
+	s.refused(kind)
 }
 
 // Observe counts the role changes between two views. A change of role between
--- a/root/operator/burn/series.go
+++ b/root/operator/burn/series.go
@@ -1,20 +1,58 @@
 package burn
 
 import (
+	"maps"
 	"sync"
 	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
 )
 
 // series holds the outcomes of one class.
 type series struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// total counts since the start of the process.
+	total   Totals
 	live    live
 	start   time.Time
 	windows windows
 }
 
+// Totals count the outcomes of one class since the start of the process.
+type Totals struct {
+	Within  uint64            `json:"within"`
+	Late    uint64            `json:"late"`
+	Refused map[string]uint64 `json:"refused"`
+}
+
+func (s *series) answered(t Timing, within bool) {
+	s.live.answered(t, within)
+	if within {
+		s.total.Within++
+		return
+	}
+	s.total.Late++
+}
+
+func (s *series) refused(kind fault.Kind) {
+	s.live.refused(kind)
+	s.total.Refused[kind.String()]++
+}
+
+func (s *series) totals() Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.total
+	out.Refused = maps.Clone(s.total.Refused)
+	return out
+}
+
 func newSeries(now time.Time) *series {
-	return &series{start: now.Truncate(liveWidth), windows: newWindows()}
+	return &series{
+		total:   Totals{Refused: map[string]uint64{}},
+		start:   now.Truncate(liveWidth),
+		windows: newWindows(),
+	}
 }
 
 // roll moves the live span into the windows once it has ended. The lock is held.
--- a/root/operator/burn/snapshot.go
+++ b/root/operator/burn/snapshot.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -65,12 +66,17 @@
 	return out
 }
 
+// Totals returns the counters of each class since the start.
+func (r *Recorder) Totals() map[string]Totals {
+	out := map[string]Totals{}
+	for name, s := range r.allSeries() {
+		out[name] = s.totals()
+	}
+	return out
+}
+
 func (r *Recorder) allSeries() map[string]*series {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[string]*series, len(r.series))
-	for name, s := range r.series {
-		out[name] = s
-	}
-	return out
+	return maps.Clone(r.series)
 }
--- a/root/operator/operator.go
+++ b/root/operator/operator.go
@@ -153,7 +153,11 @@
 
 // vars shows the process's expvar metrics and this part's own.
 func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
-	out := map[string]any{"wagtaildyke": s.Metrics()}
+	out := map[string]any{
+		"wagtaildyke": s.Metrics(),
+		"classes":     s.Burn.Totals(),
+		"tree":        s.Tree(),
+	}
 	expvar.Do(func(kv expvar.KeyValue) { out[kv.Key] = json.RawMessage(kv.Value.String()) })
 	writeJSON(w, out)
 }
--- a/root/operator/table.go
+++ b/root/operator/table.go
@@ -82,7 +82,7 @@
 func (s *Server) history(w http.ResponseWriter, r *http.Request) {
 	if s.Reader == nil {
 		s.refuse(w, fault.New(fault.Unavailable, part,
-			"this daemon has no replica: ask one on a VM with a data folder").WithRan(fault.RanNo))
+			"this daemon can't read the history: ask a daemon with a replica").WithRan(fault.RanNo))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
