--- a/root/traffic/dispatch/lease.go
+++ b/root/traffic/dispatch/lease.go
@@ -21,7 +21,7 @@
 
 // HedgeAfter returns the wait for the first token past which a second attempt
 // by Retry is worthwhile; 0 when unknown.
-func (l *Lease) HedgeAfter() time.Duration { return l.grant.hedgeAfter }
+func (l *Lease) HedgeAfter() time.Duration { return l.grant.HedgeAfter() }
 
 // Tokens counts n output tokens observed now; the first call is the first token.
 func (l *Lease) Tokens(n int) {
--- a/root/traffic/dispatch/request.go
+++ b/root/traffic/dispatch/request.go
@@ -61,3 +61,7 @@
 	// Rate is the arrivals per second, refused ones included.
 	Rate float64
 }
+
+// HedgeAfter returns the wait for the first token past which a second attempt
+// on another server is worthwhile; 0 when unknown.
+func (g *Grant) HedgeAfter() time.Duration { return g.hedgeAfter }
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -86,7 +86,8 @@
 	c.Queued = float64(srv.Load.Waiting) * reportWeight(c.ReportAge)
 	c.OwnPart = s.part(srv.Slots, t.own, t.slots)
 	c.LongPart = s.part(c.LongSlots, t.ownLong, t.longSlots)
-	c.LongFree = c.LongPart > 0
+	c.Since = srv.begun - srv.begunAtReport
+	c.BorrowPart = borrowExcess / float64(s.entries)
 	c.Slowness = srv.speed.slowness(now, t.gapMedian, t.firstTime)
 	c.Probe = srv.speed.probeDue(now)
 	if c.Slowness < slowThreshold {
--- a/root/traffic/scheduling/estimate.go
+++ b/root/traffic/scheduling/estimate.go
@@ -6,16 +6,17 @@
 	// estimateWeight is the weight of a new answer in the averages.
 	estimateWeight = 0.1
 	// highQuantile is the quantile kept beside the mean.
-	highQuantile = 0.95
+	highQuantile = 0.99
 	// quantileStep is the relative step of the quantile's approximation.
 	quantileStep = 0.2
 	// defaultOutput is assumed before any answer is seen, in tokens.
 	defaultOutput = 256
 	// maxEstimates bounds the remembered pairs of class and caller.
 	maxEstimates = 8192
-	// minSeen is the number of answers after which a caller's own estimate is
-	// used in place of its class's.
-	minSeen = 8
+	// minSeen is the number of answers after which a caller's own mean is used
+	// in place of its class's, minHighSeen that for the quantile.
+	minSeen     = 8
+	minHighSeen = 100
 	// longOutput is the estimated cost above which work counts as long.
 	longOutput = 384
 )
@@ -40,14 +41,17 @@
 	}
 	weight := math.Max(estimateWeight, 1/float64(l.seen))
 	l.Mean += weight * (tokens - l.Mean)
-	step := quantileStep * math.Max(1, l.Mean)
 	if tokens > l.High {
-		l.High += step * highQuantile
-	} else {
-		l.High = math.Max(l.Mean, l.High-step*(1-highQuantile))
+		l.raise()
+		return
 	}
+	l.High = math.Max(l.Mean, l.High-l.step()*(1-highQuantile))
 }
 
+func (l *length) step() float64 { return quantileStep * math.Max(1, l.Mean) }
+
+func (l *length) raise() { l.High += l.step() * highQuantile }
+
 // Lengths estimates output lengths by class and caller.
 type Lengths struct {
 	by map[lengthKey]*length
@@ -62,6 +66,17 @@
 	l.entry(lengthKey{class, caller}).observe(float64(tokens))
 }
 
+// ObserveCut adds an answer that was cut after the given length. It says
+// nothing about the mean, but an answer longer than the quantile raises it;
+// without that, answers cut at their deadline would keep the quantile too low.
+func (l *Lengths) ObserveCut(class, caller string, tokens int) {
+	for _, key := range []lengthKey{{class: class}, {class, caller}} {
+		if known := l.by[key]; known != nil && float64(tokens) > known.High {
+			known.raise()
+		}
+	}
+}
+
 func (l *Lengths) entry(key lengthKey) *length {
 	e := l.by[key]
 	if e != nil {
@@ -93,7 +108,11 @@
 		e = known.Estimate
 	}
 	if known := l.by[lengthKey{class, caller}]; known != nil && known.seen >= minSeen {
-		e = known.Estimate
+		e.Mean = known.Mean
+		e.High = math.Max(e.High, known.High)
+		if known.seen >= minHighSeen {
+			e.High = known.High
+		}
 	}
 	if maxOutput > 0 {
 		e.Mean = math.Min(e.Mean, float64(maxOutput))
--- a/root/traffic/scheduling/filter_slots.go
+++ b/root/traffic/scheduling/filter_slots.go
@@ -7,12 +7,16 @@
 	staleReport = 3 * time.Second
 	// borrowMargin is the share of a server's slots left free when an entry
 	// uses more than its own part.
-	borrowMargin = 0.15
+	borrowMargin = 0.05
+	// borrowExcess multiplies an entry's even part of the reported room, since
+	// seldom do all entries need their parts at once.
+	borrowExcess = 2.0
 )
 
 // SlotFilter keeps servers with a free slot. An entry may always use its own
-// part of a server's slots; it borrows more while a fresh report and its own
-// count say that the server has room.
+// part of a server's slots. It borrows more while a fresh report shows room,
+// and no more of that room per report than its part, so that entries that read
+// the same report do not overfill the server together.
 type SlotFilter struct{}
 
 // Keep implements Filter.
@@ -20,27 +24,22 @@
 	if c.Server.Slots <= 0 {
 		return true
 	}
-	if w.Long {
-		return longFits(c)
-	}
-	return c.Own < c.OwnPart || borrows(c, float64(c.Server.Slots))
-}
-
-// longFits applies the lower bounds for long work.
-func longFits(c *Candidate) bool {
 	if c.Own >= c.Server.Slots {
 		return false
 	}
-	if c.OwnLong < c.LongPart && c.LongFree {
-		return true
+	if w.Long {
+		own := c.Own < c.OwnPart && c.OwnLong < c.LongPart
+		return own || borrows(c, c.LongSlots)
 	}
-	return borrows(c, float64(c.LongSlots)*(1-borrowMargin))
+	return c.Own < c.OwnPart || borrows(c, c.Server.Slots)
 }
 
-// borrows reports whether the server has room under limit for one more.
-func borrows(c *Candidate, limit float64) bool {
-	if !c.Reported || c.ReportAge > staleReport {
+// borrows reports whether the reported room under limit has a part left for
+// this entry.
+func borrows(c *Candidate, limit int) bool {
+	if !c.Reported || c.ReportAge > staleReport || c.Queued >= 1 {
 		return false
 	}
-	return c.Queued < 1 && c.Running()+1 <= limit
+	room := float64(limit)*(1-borrowMargin) - float64(c.Server.Load.Running)
+	return float64(c.Since+1) <= room*c.BorrowPart
 }
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -30,6 +30,7 @@
 	r.overlap = srv.prefixes.overlap(w.Prefix)
 	r.outstanding = float64(w.PromptTokens) + w.Output
 	srv.own++
+	srv.begun++
 	srv.ownTokens += r.outstanding
 	srv.prefixes.add(w.Prefix)
 	if srv.speed.probeWait > 0 || srv.speed.probeDue(now) {
@@ -62,13 +63,13 @@
 	fleet := r.sched.pace(r.work.Target)
 	if r.lastToken.IsZero() {
 		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
-		sp.first.observe(unit)
-		fleet.first.observe(unit)
+		sp.first.observe(unit, speedWeight)
+		fleet.first.observe(unit, fleetWeight)
 		sp.streams++
 	} else {
 		gap := now.Sub(r.lastToken).Seconds() / float64(n)
-		sp.gap.observe(gap)
-		fleet.gap.observe(gap)
+		sp.gap.observe(gap, speedWeight)
+		fleet.gap.observe(gap, fleetWeight)
 	}
 	r.lastToken = now
 	sp.lastToken = now
@@ -80,12 +81,12 @@
 	if r.lastToken.IsZero() {
 		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
 		if unit > sp.first.value {
-			sp.first.observe(unit)
+			sp.first.observe(unit, speedWeight)
 		}
 		return
 	}
 	if gap := now.Sub(r.lastToken).Seconds() / stallDiscount; gap > sp.gap.value {
-		sp.gap.observe(gap)
+		sp.gap.observe(gap, speedWeight)
 	}
 }
 
@@ -126,8 +127,17 @@
 	if !r.lastToken.IsZero() {
 		srv.speed.streams--
 	}
-	if whole && r.produced > 0 {
-		r.sched.lengths.Observe(r.work.Class, r.work.Caller, r.produced)
+	r.learnLength(whole)
+}
+
+func (r *Run) learnLength(whole bool) {
+	lengths := r.sched.lengths
+	if !whole {
+		lengths.ObserveCut(r.work.Class, r.work.Caller, r.produced)
+		return
+	}
+	if r.produced > 0 {
+		lengths.Observe(r.work.Class, r.work.Caller, r.produced)
 	}
 }
 
--- a/root/traffic/scheduling/server.go
+++ b/root/traffic/scheduling/server.go
@@ -24,14 +24,17 @@
 	ownTokens float64
 	// ownAtReport is the own count when the present load report arrived.
 	ownAtReport int
-	prefixes    *prefixMemory
-	speed       speed
+	// begun counts requests ever begun, begunAtReport those before the report.
+	begun, begunAtReport int
+	prefixes             *prefixMemory
+	speed                speed
 }
 
 // update takes over the announced state and load report.
 func (s *server) update(next fleet.Server) {
 	if !next.Load.ReportedAt.Equal(s.Load.ReportedAt) {
 		s.ownAtReport = s.own
+		s.begunAtReport = s.begun
 	}
 	restarted := next.Incarnation != s.Incarnation
 	if s.prefixes == nil || restarted || next.CacheTokens != s.CacheTokens {
--- a/root/traffic/scheduling/speed.go
+++ b/root/traffic/scheduling/speed.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// speedWeight is the weight of a new observation in the averages.
+	// speedWeight is the weight of a new observation in one server's averages.
 	speedWeight = 0.15
+	// fleetWeight is the weight of a new observation in the averages over all
+	// servers.
+	fleetWeight = 0.005
 	// minSpeedSeen is the number of observations before a server is judged.
 	minSpeedSeen = 4
 	// slowThreshold is the slowness at which a server gets probes only.
@@ -28,15 +31,16 @@
 	speedMemory = 5 * time.Minute
 )
 
-// average is an exponentially weighted moving average.
+// average is an exponentially weighted moving average. It starts as the plain
+// mean.
 type average struct {
 	value float64
 	seen  int
 }
 
-func (a *average) observe(v float64) {
+func (a *average) observe(v, least float64) {
 	a.seen++
-	weight := math.Max(speedWeight, 1/float64(a.seen))
+	weight := math.Max(least, 1/float64(a.seen))
 	a.value += weight * (v - a.value)
 }
 
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -60,8 +60,10 @@
 	OwnPart, LongPart int
 	// LongSlots is the number of slots that long work may use.
 	LongSlots int
-	// LongFree says that this entry's long work is under its part of the fleet.
-	LongFree bool
+	// Since counts this entry's requests begun since the load report arrived.
+	Since int
+	// BorrowPart is this entry's part of the reported free slots.
+	BorrowPart float64
 }
 
 // Running returns the estimated requests running on the server.
