--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -121,6 +121,8 @@
 		ReplicaId:    string(m.Replica),
 		Stopped:      m.Stopped,
 		Loads:        fromOwnLoads(m.Loads),
+		LoadsTerm:    m.LoadsTerm,
+		LoadsSeq:     m.LoadsSeq,
 		Demands:      fromDemands(m.Demands),
 	}
 	for _, h := range m.Heard {
@@ -139,6 +141,8 @@
 		Replica:      consensus.NodeID(p.ReplicaId),
 		Stopped:      p.Stopped,
 		Loads:        toOwnLoads(p.Loads),
+		LoadsTerm:    p.LoadsTerm,
+		LoadsSeq:     p.LoadsSeq,
 		Demands:      toDemands(p.Demands),
 	}
 	for _, h := range p.Heard {
--- a/cmd/wagtaildyke/main.go
+++ b/cmd/wagtaildyke/main.go
@@ -36,7 +36,7 @@
 		Commands: []*cli.Command{
 			serveCommand(), formatCommand(), standinCommand(), demoCommand(),
 			settingsCommand(), tableCommand(), fleetCommand(), drainCommand(),
-			addressesCommand(), treeCommand(),
+			addressesCommand(), treeCommand(), orderCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- /dev/null
+++ b/cmd/wagtaildyke/order.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/operator"
+)
+
+func orderCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "order",
+		Usage:     "change a backend server's role, model, adapter or version once its streams have ended",
+		ArgsUsage: "SERVER",
+		Description: "Example: wagtaildyke order --role prefill engine-7\n" +
+			"Example: wagtaildyke order --model assistant --version 3 engine-7\n\n" +
+			"The server gets no new work meanwhile. When the answer is late, run the same\n" +
+			"command again: it joins the order under way.",
+		Flags: append(operatorFlags(),
+			&cli.StringFlag{Name: "role", Usage: "mixed, prefill or decode"},
+			&cli.StringFlag{Name: "model", Usage: "`model` to load"},
+			&cli.StringFlag{Name: "adapter", Usage: "`adapter` of the model to load"},
+			&cli.StringFlag{Name: "version", Usage: "`version` of the model to load"},
+		),
+		Action: sendOrder,
+	}
+}
+
+func sendOrder(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return fault.New(fault.Invalid, part, "order takes one backend server")
+	}
+	req := operator.OrderRequest{
+		Server: c.Args().First(), Role: c.String("role"), Model: c.String("model"),
+		Adapter: c.String("adapter"), Version: c.String("version"),
+	}
+	req.Action = actionOf(req)
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	// A struct of plain fields always encodes.
+	body, _ := json.Marshal(req)
+	r, err := cl.do(ctx, call{method: http.MethodPost, path: "/v1/orders", body: body})
+	if err != nil {
+		return err
+	}
+	var settled operator.OrderSettled
+	if err := json.Unmarshal(r.body, &settled); err != nil {
+		return fault.Wrap(err, fault.Internal, part, "the answer is not JSON")
+	}
+	fmt.Fprintf(c.Root().Writer, "%s: order %d took effect (%s)\n", settled.Server, settled.Fence, settled.Observed)
+	return nil
+}
+
+func actionOf(req operator.OrderRequest) string {
+	switch {
+	case req.Role != "":
+		return "change_role"
+	case req.Adapter != "":
+		return "load_adapter"
+	case req.Version != "":
+		return "load_version"
+	default:
+		return "load_model"
+	}
+}
--- a/root/control/fleet/names.go
+++ b/root/control/fleet/names.go
@@ -12,6 +12,16 @@
 	}
 }
 
+// ParseRole returns the role with the given name.
+func ParseRole(name string) (Role, bool) {
+	for _, r := range []Role{Mixed, Prefill, Decode} {
+		if r.String() == name {
+			return r, true
+		}
+	}
+	return Mixed, false
+}
+
 // String returns the name of the state for operators.
 func (s State) String() string {
 	switch s {
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -158,6 +158,24 @@
 	return out
 }
 
+// Server returns the backend server with the given id.
+func (t *Tracker) Server(id string) (Server, bool) {
+	e := t.servers[id]
+	if e == nil {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
+// Reported returns the server's own latest load report and when it was heard.
+func (t *Tracker) Reported(id string) (Load, time.Time, bool) {
+	e := t.servers[id]
+	if e == nil {
+		return Load{}, time.Time{}, false
+	}
+	return e.server.Load, e.lastHeard, true
+}
+
 // Servers returns a sorted copy of all backend servers. Running is at least
 // the sum of the entries' own counts.
 func (t *Tracker) Servers() []Server {
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"runtime"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
@@ -27,6 +27,7 @@
 	Persist   func(consensus.Persist)
 	Publish   func(*view.View)
 	SetShares func([]fleet.Share)
+	Issue     func(machine.IssueOrder)
 	// Halt stops the process: a durable invariant is broken.
 	Halt func(*fault.Error)
 }
@@ -40,19 +41,20 @@
 	nextID  atomic.Uint64
 	steps   atomic.Uint64
 
-	mu      sync.Mutex
-	waiters map[uint64]chan replicated.Result
+	results   *waiters[replicated.Result]
+	histories *waiters[machine.History]
 }
 
 // New returns a loop around a machine. idBase makes proposal ids unique to
 // this incarnation of the process.
 func New(m *machine.Machine, out Outlets, idBase uint64, log logr.Logger) *Loop {
 	l := &Loop{
-		machine: m,
-		out:     out,
-		log:     log,
-		inbox:   newInbox(),
-		waiters: map[uint64]chan replicated.Result{},
+		machine:   m,
+		out:       out,
+		log:       log,
+		inbox:     newInbox(),
+		results:   newWaiters[replicated.Result](),
+		histories: newWaiters[machine.History](),
 	}
 	l.nextID.Store(idBase)
 	return l
@@ -105,23 +107,17 @@
 	case machine.SetShares:
 		l.out.SetShares(e.Shares)
 	case machine.Answer:
-		l.answer(e)
+		l.results.answer(e.ID, e.Result)
+	case machine.IssueOrder:
+		l.out.Issue(e)
+	case machine.History:
+		l.histories.answer(e.ID, e)
 	case machine.Halt:
 		l.log.Error(e.Err, "stopping the process: control state is broken")
 		l.out.Halt(e.Err)
 	}
 }
 
-func (l *Loop) answer(a machine.Answer) {
-	l.mu.Lock()
-	ch := l.waiters[a.ID]
-	delete(l.waiters, a.ID)
-	l.mu.Unlock()
-	if ch != nil {
-		ch <- a.Result
-	}
-}
-
 // Post hands an event to the control thread. Events that are said again soon
 // are dropped when the inbox is full; others wait for room or for ctx.
 func (l *Loop) Post(ctx context.Context, ev machine.Event) error {
@@ -132,13 +128,10 @@
 // ends first the outcome is unknown.
 func (l *Loop) Submit(ctx context.Context, cmd replicated.Command) (replicated.Result, error) {
 	id := l.nextID.Add(1)
-	ch := make(chan replicated.Result, 1)
-	l.mu.Lock()
-	l.waiters[id] = ch
-	l.mu.Unlock()
-	defer l.forget(id)
+	ch := l.results.add(id)
+	defer l.results.remove(id)
 	if err := l.Post(ctx, machine.Submit{ID: id, Command: cmd}); err != nil {
-		return replicated.Result{}, fault.Wrap(err, fault.Unavailable, part, "the control thread is busy").WithRan(fault.RanNo)
+		return replicated.Result{}, busy(err)
 	}
 	select {
 	case res := <-ch:
@@ -148,10 +141,27 @@
 	}
 }
 
-func (l *Loop) forget(id uint64) {
-	l.mu.Lock()
-	delete(l.waiters, id)
-	l.mu.Unlock()
+// History returns the table's history as this VM's replica has applied it.
+func (l *Loop) History(ctx context.Context) ([]table.Record, error) {
+	id := l.nextID.Add(1)
+	ch := l.histories.add(id)
+	defer l.histories.remove(id)
+	if err := l.Post(ctx, machine.ReadHistory{ID: id}); err != nil {
+		return nil, busy(err)
+	}
+	select {
+	case h := <-ch:
+		if h.Err != nil {
+			return nil, h.Err
+		}
+		return h.Records, nil
+	case <-ctx.Done():
+		return nil, busy(ctx.Err())
+	}
+}
+
+func busy(err error) error {
+	return fault.Wrap(err, fault.Unavailable, part, "the control thread is busy").WithRan(fault.RanNo)
 }
 
 // Stats counts what the control thread has done.
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -20,6 +20,8 @@
 	ProposeRetry time.Duration
 	// ProposeTimeout bounds the wait for a commit.
 	ProposeTimeout time.Duration
+	// OrderTimeout bounds the wait for an order, which waits for streams to end.
+	OrderTimeout time.Duration
 	// LeaderSweep is the time between the leader's checks for silence.
 	LeaderSweep time.Duration
 	// LedgerTick is the time between the leader's expiry commands.
@@ -37,6 +39,7 @@
 		RenewTimeout:   400 * time.Millisecond,
 		ProposeRetry:   400 * time.Millisecond,
 		ProposeTimeout: 8 * time.Second,
+		OrderTimeout:   15 * time.Minute,
 		LeaderSweep:    250 * time.Millisecond,
 		LedgerTick:     time.Minute,
 		MaxClockDrift:  0.01,
@@ -47,6 +50,14 @@
 	}
 }
 
+// timeout bounds the wait for the answer to a command.
+func (t Timing) timeout(cmd replicated.Command) time.Duration {
+	if _, isOrder := cmd.(replicated.RecordOrder); isOrder {
+		return t.OrderTimeout
+	}
+	return t.ProposeTimeout
+}
+
 // Config describes one process.
 type Config struct {
 	// Self is this VM; Address is empty without an entry part.
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -28,7 +28,14 @@
 	if l.isPending(p) {
 		return
 	}
-	l.commit(msg.Command, p)
+	switch cmd := msg.Command.(type) {
+	case replicated.RecordOrder:
+		l.orders.request(p, cmd)
+	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.Tick:
+		l.answer(p, replicated.Result{Err: fault.New(fault.Invalid, part, "only the leader makes this command")})
+	default:
+		l.commit(msg.Command, p)
+	}
 }
 
 func (l *leader) isPending(p proposer) bool {
@@ -42,7 +49,7 @@
 			return true
 		}
 	}
-	return false
+	return l.orders.isPending(p)
 }
 
 func (l *leader) commit(cmd replicated.Command, p proposer) {
@@ -73,6 +80,7 @@
 	case replicated.SetDrain, replicated.SetFencing:
 		l.rebuild()
 	}
+	l.orders.applied(cmd, result)
 	if mine {
 		l.answer(p, result)
 	}
@@ -110,11 +118,11 @@
 // isInForce holds once each lease granted on an older version has run out,
 // those of an earlier leader included.
 func (l *leader) isInForce(version uint64) bool {
-	if l.m.now.Before(l.leasesBefore()) {
+	if l.m.now.Before(l.leasesBefore()) && l.m.keeps(ruleEarlierLeases) {
 		return false
 	}
 	for _, h := range l.holders {
-		if h.tableVersion < version && l.m.now.Before(h.until) {
+		if h.tableVersion < version && l.m.now.Before(h.until) && l.m.keeps(ruleAwaitHolders) {
 			return false
 		}
 	}
@@ -131,5 +139,3 @@
 		l.m.send(p.vm, Proposed{ID: p.id, Result: result})
 	}
 }
-
-func (l *leader) orderDone(OrderDone) {}
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -6,8 +6,10 @@
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/admission"
 )
 
 // leader is the work of the replica that leads: view leases, the fleet's soft
@@ -23,23 +25,28 @@
 	fleet    *fleet.Tracker
 	seq      uint64
 	view     *view.View
-	holders  map[string]*holder
+	holders  map[string]*leaseHolder
 	waiting  map[uint64]proposer
 	inForce  []inForce
 	sweepAt  time.Time
 	ledgerAt time.Time
 	// loadDirty is set when only loads changed since the last view.
 	loadDirty bool
+	orders    *orders
 }
 
-// holder is a process that holds a view lease.
-type holder struct {
+// leaseHolder is a process that holds a view lease.
+type leaseHolder struct {
 	vm fleet.VM
 	// until is when the lease has run out by this clock, drift included.
 	until        time.Time
 	seq          uint64
 	tableVersion uint64
 	demands      []fleet.Demand
+	// loads are its own requests per backend server, counted while the view
+	// loadsSeq of this term was in force for its traffic.
+	loads    []fleet.OwnLoad
+	loadsSeq uint64
 }
 
 func newLeader(r *replica, term uint64) *leader {
@@ -47,11 +54,12 @@
 	l := &leader{
 		r: r, m: m, term: term, since: m.now,
 		fleet:    fleet.NewTracker(m.cfg.Timing.Fleet),
-		holders:  map[string]*holder{},
+		holders:  map[string]*leaseHolder{},
 		waiting:  map[uint64]proposer{},
 		sweepAt:  m.now.Add(m.cfg.Timing.LeaderSweep),
 		ledgerAt: m.now.Add(m.cfg.Timing.LedgerTick),
 	}
+	l.orders = newOrders(l)
 	l.rebuild()
 	return l
 }
@@ -79,7 +87,8 @@
 	for i := range servers {
 		s := &servers[i]
 		s.ChecksFencing = fencing[s.ID]
-		if _, draining := drains[s.ID]; draining && s.State == fleet.Active {
+		_, draining := drains[s.ID]
+		if (draining || l.orders.drains(s.ID)) && s.State == fleet.Active {
 			s.State = fleet.Draining
 		}
 	}
@@ -99,9 +108,13 @@
 
 // renewed takes one process's report and grants it a view lease.
 func (l *leader) renewed(from string, msg Renew) {
-	if old, ok := l.fleet.VM(from); ok && msg.VM.Incarnation < old.Incarnation {
+	old, known := l.fleet.VM(from)
+	if known && msg.VM.Incarnation < old.Incarnation {
 		return
 	}
+	if !known || msg.VM.Incarnation > old.Incarnation {
+		l.abandonBefore(msg.VM)
+	}
 	if msg.Stopped {
 		l.release(from)
 		return
@@ -122,6 +135,13 @@
 	l.repairMembers(from, msg.Replica)
 	l.grant(from, msg)
 	l.checkInForce()
+	l.orders.advance()
+}
+
+// abandonBefore settles the open work of earlier processes of a VM: they have
+// ended, and what they sent can't be known.
+func (l *leader) abandonBefore(vm fleet.VM) {
+	l.commit(replicated.AbandonWork{Abandon: ledger.Abandon{Entry: vm.ID, Incarnation: vm.Incarnation - 1}}, proposer{})
 }
 
 // refreshLoads makes a new view without pushing it: entries fetch it as they renew.
@@ -136,12 +156,17 @@
 	lease := l.m.cfg.Timing.ViewLease
 	h := l.holders[to]
 	if h == nil {
-		h = &holder{}
+		h = &leaseHolder{}
 		l.holders[to] = h
 	}
 	h.vm = msg.VM
 	h.until = l.m.now.Add(lease)
 	h.demands = msg.Demands
+	h.loads = msg.Loads
+	h.loadsSeq = 0
+	if msg.LoadsTerm == l.term {
+		h.loadsSeq = msg.LoadsSeq
+	}
 	if msg.ViewTerm == l.term {
 		h.seq = msg.ViewSeq
 		h.tableVersion = msg.TableVersion
@@ -172,6 +197,7 @@
 	}
 	l.dropHolders()
 	l.checkInForce()
+	l.orders.advance()
 	if !now.Before(l.ledgerAt) {
 		l.ledgerAt = now.Add(l.m.cfg.Timing.LedgerTick)
 		l.commit(replicated.Tick{}, proposer{})
@@ -192,20 +218,32 @@
 // readDone is unused by commands that go through the log.
 func (l *leader) readDone(consensus.ReadResult) {}
 
-// shares divides each class's fleet-wide limits over the entries.
+// shares divides each class's fleet-wide limits over the entries by demand.
 func (l *leader) shares(to string) []fleet.Share {
-	entries := 0
-	for _, vm := range l.fleet.VMs() {
-		if vm.Address != "" {
-			entries++
-		}
-	}
-	if entries == 0 {
-		return nil
-	}
 	out := make([]fleet.Share, 0, len(l.view.Table.Classes))
 	for _, c := range l.view.Table.Classes {
-		out = append(out, fleet.Share{Class: c.Name, Fraction: 1 / float64(entries)})
+		split := admission.Split(c.Concurrency, l.demandsFor(c.Name))
+		if part, ok := split[to]; ok {
+			out = append(out, fleet.Share{Class: c.Name, Fraction: part})
+		}
+	}
+	return out
+}
+
+// demandsFor returns what every entry with a lease reports for a class.
+func (l *leader) demandsFor(class string) []admission.EntryDemand {
+	var out []admission.EntryDemand
+	for id, h := range l.holders {
+		if h.vm.Address == "" || !l.m.now.Before(h.until) {
+			continue
+		}
+		d := admission.EntryDemand{Entry: id}
+		for _, reported := range h.demands {
+			if reported.Class == class {
+				d.Running, d.Waiting, d.Rate = reported.Running, reported.Waiting, reported.RatePerSecond
+			}
+		}
+		out = append(out, d)
 	}
 	return out
 }
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -20,6 +20,8 @@
 	selfQueue []Message
 	member    *member
 	proposals *proposals
+	holder    *holder
+	broken    rule
 	// replica is nil in a process without a replica part.
 	replica *replica
 }
@@ -29,6 +31,7 @@
 	m := &Machine{cfg: cfg, now: now, started: now}
 	m.member = newMember(m)
 	m.proposals = newProposals(m)
+	m.holder = &holder{m: m}
 	return m
 }
 
@@ -68,7 +71,9 @@
 	case Persisted:
 		m.replica.persisted(ev.Seq)
 	case OrderDone:
-		m.orderDone(ev)
+		m.holder.done(ev)
+	case ReadHistory:
+		m.readHistory(ev.ID)
 	case Stop:
 		m.member.stop(ev.Phase)
 	}
@@ -116,10 +121,12 @@
 	}
 }
 
-func (m *Machine) orderDone(ev OrderDone) {
-	if m.replica != nil {
-		m.replica.orderDone(ev)
+func (m *Machine) readHistory(id uint64) {
+	if m.replica == nil {
+		m.emit(History{ID: id, Err: fault.New(fault.Unavailable, part, "this VM has no replica; ask one that has").WithRan(fault.RanNo)})
+		return
 	}
+	m.emit(History{ID: id, Records: m.replica.state.History()})
 }
 
 func (m *Machine) runTimers() {
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -106,6 +106,8 @@
 		TableVersion: b.current.Table.Version,
 		Heard:        b.freshAnnouncements(),
 		Loads:        b.own.Loads,
+		LoadsTerm:    b.own.ViewTerm,
+		LoadsSeq:     b.own.ViewSeq,
 		Demands:      b.own.Demands,
 		Replica:      b.replicaID(),
 		Stopped:      b.stopped,
@@ -159,11 +161,11 @@
 
 // grant takes a lease, a newer view, or both. A grant of an older term has no effect.
 func (b *member) grant(from string, g Grant) {
-	if g.Term < b.current.Term {
+	if g.Term < b.current.Term && b.m.keeps(ruleViewOrder) {
 		return
 	}
 	b.leader = from
-	if g.View != nil && g.View.Newer(b.current) && g.View.Table.Version >= b.current.Table.Version {
+	if g.View != nil && (g.View.Newer(b.current) || !b.m.keeps(ruleViewOrder)) {
 		b.adopt(g.View)
 	}
 	if g.Lease == 0 {
@@ -191,7 +193,11 @@
 // the bound on clock drift.
 func (b *member) extend(g Grant) {
 	drift := time.Duration(float64(g.Lease) * b.m.cfg.Timing.MaxClockDrift)
-	until := b.m.started.Add(g.Echo).Add(g.Lease - drift)
+	sent := b.m.started.Add(g.Echo)
+	if !b.m.keeps(ruleLeaseFromSend) {
+		sent = b.m.now
+	}
+	until := sent.Add(g.Lease - drift)
 	if until.After(b.current.LeaseUntil) {
 		b.publish(func(v *view.View) { v.LeaseUntil = until })
 	}
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
@@ -23,8 +25,10 @@
 	TableVersion      uint64
 	// Heard are the backend servers that announced themselves to the sender.
 	Heard []fleet.Heard
-	// Loads are the sender's own requests in flight per backend server.
-	Loads []fleet.OwnLoad
+	// Loads are the sender's own requests in flight per backend server, counted
+	// while the view with LoadsTerm and LoadsSeq was in force for traffic.
+	Loads               []fleet.OwnLoad
+	LoadsTerm, LoadsSeq uint64
 	// Demands are the sender's demand per class.
 	Demands []fleet.Demand
 	// Replica is the consensus identity of the sender; empty without a replica part.
@@ -101,22 +105,29 @@
 // Traffic reports this process's own traffic.
 type Traffic struct {
 	InFlight int
-	Loads    []fleet.OwnLoad
-	Demands  []fleet.Demand
+	// ViewTerm and ViewSeq name a view in force for traffic before the count.
+	ViewTerm, ViewSeq uint64
+	Loads             []fleet.OwnLoad
+	Demands           []fleet.Demand
 }
 
 // Persisted reports that the write with this sequence number is durable.
 type Persisted struct{ Seq uint64 }
 
-// OrderDone reports what a backend server answered to an order.
+// OrderDone reports the definite outcome of an order. Until it is known, the
+// sender keeps asking.
 type OrderDone struct {
-	Server  string
+	Server string
+	// Fence is the number of the order that was sent or observed.
 	Fence   uint64
-	Outcome OrderOutcome
-	// Observed is the role that the server reported; valid unless Outcome is OrderUnknown.
-	Observed fleet.Role
+	Applied bool
+	// Observed describes the server's state for operators.
+	Observed string
 }
 
+// ReadHistory asks for the table's history as this replica has applied it.
+type ReadHistory struct{ ID uint64 }
+
 // Stop begins or advances the graceful stop.
 type Stop struct{ Phase StopPhase }
 
@@ -129,6 +140,8 @@
 func (OrderDone) event() {}
 func (Stop) event()      {}
 
+func (ReadHistory) event() {}
+
 // StopPhase is one step of the graceful stop.
 type StopPhase uint8
 
@@ -142,16 +155,6 @@
 	StopDone
 )
 
-// OrderOutcome is the result of an order as the sender knows it.
-type OrderOutcome uint8
-
-// The outcomes of an order.
-const (
-	OrderApplied OrderOutcome = iota
-	OrderRefused
-	OrderUnknown
-)
-
 // Effect is one thing that the control thread asks its surroundings to do.
 type Effect interface{ effect() }
 
@@ -176,6 +179,25 @@
 	Result replicated.Result
 }
 
+// IssueOrder asks the orders part to carry out an order. With Observe set it
+// only finds out whether the order took effect; the server's fencing number is
+// raised to Number first, so that the order can't take effect later.
+type IssueOrder struct {
+	Server  fleet.Server
+	Order   authority.Order
+	Observe bool
+	// Number is the fencing number to send.
+	Number uint64
+}
+
+// History answers a ReadHistory.
+type History struct {
+	ID      uint64
+	Records []table.Record
+	// Err is set in a process without a replica part.
+	Err *fault.Error
+}
+
 // Halt stops the process: a durable invariant is broken.
 type Halt struct{ Err *fault.Error }
 
@@ -185,3 +207,6 @@
 func (SetShares) effect() {}
 func (Answer) effect()    {}
 func (Halt) effect()      {}
+
+func (IssueOrder) effect() {}
+func (History) effect()    {}
--- a/root/control/machine/proposals.go
+++ b/root/control/machine/proposals.go
@@ -13,10 +13,17 @@
 type proposals struct {
 	m       *Machine
 	pending map[uint64]*proposal
+	// own counts commands of this process's own.
+	own uint64
 }
 
+// ownBit keeps the ids of own commands apart from those of submitted ones.
+const ownBit = 1 << 63
+
 type proposal struct {
-	command  replicated.Command
+	command replicated.Command
+	// done takes the result of a command of this process's own; nil for one submitted.
+	done     func(replicated.Result)
 	nextSend time.Time
 	deadline time.Time
 }
@@ -25,14 +32,23 @@
 	return &proposals{m: m, pending: map[uint64]*proposal{}}
 }
 
-func (p *proposals) submit(ev Submit) {
+func (p *proposals) submit(ev Submit) { p.start(ev.ID, ev.Command, nil) }
+
+// propose commits a command of this process's own.
+func (p *proposals) propose(cmd replicated.Command, done func(replicated.Result)) {
+	p.own++
+	p.start(ownBit|(p.m.cfg.Self.Incarnation+p.own), cmd, done)
+}
+
+func (p *proposals) start(id uint64, cmd replicated.Command, done func(replicated.Result)) {
 	now := p.m.now
-	p.pending[ev.ID] = &proposal{
-		command:  ev.Command,
+	p.pending[id] = &proposal{
+		command:  cmd,
+		done:     done,
 		nextSend: now,
-		deadline: now.Add(p.m.cfg.Timing.ProposeTimeout),
+		deadline: now.Add(p.m.cfg.Timing.timeout(cmd)),
 	}
-	p.sendOne(ev.ID)
+	p.sendOne(id)
 }
 
 func (p *proposals) sendOne(id uint64) {
@@ -44,11 +60,20 @@
 }
 
 func (p *proposals) answered(msg Proposed) {
-	if _, ok := p.pending[msg.ID]; !ok {
+	p.finish(msg.ID, msg.Result)
+}
+
+func (p *proposals) finish(id uint64, result replicated.Result) {
+	pr := p.pending[id]
+	if pr == nil {
+		return
+	}
+	delete(p.pending, id)
+	if pr.done != nil {
+		pr.done(result)
 		return
 	}
-	delete(p.pending, msg.ID)
-	p.m.emit(Answer(msg))
+	p.m.emit(Answer{ID: id, Result: result})
 }
 
 // refused schedules a quick resend: the process asked was not the leader.
@@ -62,8 +87,7 @@
 	for id, pr := range p.pending {
 		switch {
 		case !p.m.now.Before(pr.deadline):
-			delete(p.pending, id)
-			p.m.emit(Answer{ID: id, Result: replicated.Result{Err: noQuorum()}})
+			p.finish(id, replicated.Result{Err: noQuorum()})
 		case !p.m.now.Before(pr.nextSend):
 			p.sendOne(id)
 		}
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -27,13 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{m: m, id: rc.Consensus.ID, core: core, codec: rc.Codec, state: replicated.New()}
-	if snap := rc.Restored.Snapshot; snap != nil {
-		if err := r.restore(snap); err != nil {
-			return nil, err
-		}
-	}
-	return r, nil
+	return &replica{m: m, id: rc.Consensus.ID, core: core, codec: rc.Codec, state: replicated.New()}, nil
 }
 
 // VMOf returns the VM that a replica identity belongs to.
@@ -42,7 +36,11 @@
 	return vm
 }
 
+// restore replaces the state. The snapshot at index 0 holds the first members only.
 func (r *replica) restore(snap *consensus.Snapshot) error {
+	if snap.Index == 0 {
+		return nil
+	}
 	typed, err := r.codec.DecodeSnapshot(snap.Data)
 	if err != nil {
 		return err
@@ -178,7 +176,10 @@
 
 // active returns the leader while it holds its lease, and nil otherwise.
 func (r *replica) active() *leader {
-	if r.leader == nil || !r.m.now.Before(r.core.Status().LeaseUntil) {
+	if r.leader == nil {
+		return nil
+	}
+	if !r.m.now.Before(r.core.Status().LeaseUntil) && r.m.keeps(ruleLeaderLease) {
 		return nil
 	}
 	return r.leader
@@ -212,13 +213,6 @@
 	return ""
 }
 
-func (r *replica) orderDone(ev OrderDone) {
-	if r.leader != nil {
-		r.leader.orderDone(ev)
-		r.drain()
-	}
-}
-
 // handOver gives up leadership to the most advanced voter.
 func (r *replica) handOver() {
 	st := r.core.Status()
--- a/root/fronts.go
+++ b/root/fronts.go
@@ -35,6 +35,7 @@
 		Views:       p.views,
 		Loop:        p.loop,
 		Dispatcher:  p.dispatcher,
+		Applied:     p.applied.Load,
 		VM:          p.settings.VM,
 		Incarnation: p.incarnation,
 		Limits: frontdoor.Limits{
--- a/root/operator/operator.go
+++ b/root/operator/operator.go
@@ -64,6 +64,7 @@
 	r.Get("/v1/table", s.getTable)
 	r.Put("/v1/table", s.putTable)
 	r.Post("/v1/drains", s.drain)
+	r.Post("/v1/orders", s.order)
 	r.Get("/debug/vars", s.vars)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, fault.New(fault.NotFound, part, "no such path: %s", r.URL.Path))
--- /dev/null
+++ b/root/operator/order.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/orders"
+)
+
+// OrderRequest asks for a planned change of one backend server. It waits until
+// the server's streams have ended.
+type OrderRequest struct {
+	Server string `json:"server"`
+	// Action is load_model, load_adapter, load_version or change_role.
+	Action  string `json:"action"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// OrderSettled is the answer to an order that took effect.
+type OrderSettled struct {
+	Server   string `json:"server"`
+	Fence    uint64 `json:"fence"`
+	Observed string `json:"observed"`
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var req OrderRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		s.refuse(w, fault.New(fault.Invalid, part, "the body is not an order request: %v", err))
+		return
+	}
+	action, err := req.action()
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	cmd := replicated.RecordOrder{RecordOrder: authority.RecordOrder{Server: req.Server, Action: action}}
+	if res, ok := s.submit(w, r, cmd); ok {
+		s.Log.Info("an order took effect", "server", req.Server, "action", req.Action, "fence", res.Authority.Fence)
+		writeJSON(w, OrderSettled{req.Server, res.Authority.Fence, res.Authority.Order.Observed})
+	}
+}
+
+func (q OrderRequest) action() (authority.Action, error) {
+	out := authority.Action{Model: q.Model, Adapter: q.Adapter, Version: q.Version}
+	switch q.Action {
+	case orders.ActionLoadModel:
+		out.Kind = authority.LoadModel
+	case orders.ActionLoadAdapter:
+		out.Kind = authority.LoadAdapter
+	case orders.ActionLoadVersion:
+		out.Kind = authority.LoadVersion
+	case orders.ActionChangeRole:
+		out.Kind = authority.ChangeRole
+		role, ok := fleet.ParseRole(q.Role)
+		if !ok {
+			return out, fault.New(fault.Invalid, part, "role %q is not mixed, prefill or decode", q.Role)
+		}
+		out.Role = role
+	default:
+		return out, fault.New(fault.Invalid, part, "action %q is not known", q.Action)
+	}
+	return out, nil
+}
--- a/root/process.go
+++ b/root/process.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -22,6 +23,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
+	"github.com/wagtaildyke/wagtaildyke/root/orders"
 	"github.com/wagtaildyke/wagtaildyke/root/peers"
 	"github.com/wagtaildyke/wagtaildyke/root/storage"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic"
@@ -45,7 +47,10 @@
 	traffic     *traffic.Traffic
 	store       *storage.Store
 	writer      *storage.Writer
-	listeners   Listeners
+	orders      *orders.Sender
+	// applied is the newest view that the dispatcher goes by.
+	applied   atomic.Pointer[view.View]
+	listeners Listeners
 	// halted receives the error that ends the process.
 	halted chan *fault.Error
 }
@@ -240,6 +245,7 @@
 	if s.Replica != nil {
 		cfg.CompactEvery = uint64(s.Replica.CompactEveryEntries)
 	}
+	p.orders = orders.New(p.orderDone, p.log.WithName("orders"))
 	l, err := control.New(control.Options{
 		Machine: cfg,
 		Replica: replica,
@@ -250,17 +256,27 @@
 			},
 			Publish:   p.publish,
 			SetShares: p.setShares,
+			Issue:     p.orders.Submit,
 			Halt:      p.halt,
 		},
 		Ancestor: p.tree,
 	})
 	p.loop = l
+	if replica != nil {
+		p.tree.Service("orders", p.orders)
+	}
 	return err
 }
 
+func (p *Process) orderDone(done machine.OrderDone) {
+	// The inbox keeps this event; the loop outlives the sender.
+	_ = p.loop.Post(context.Background(), done)
+}
+
 func (p *Process) publish(v *view.View) {
 	p.views.Publish(v)
 	p.dispatcher.ViewChanged()
+	p.applied.Store(v)
 }
 
 func (p *Process) setShares(shares []fleet.Share) {
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -29,7 +29,9 @@
 	Views      *view.Store
 	Loop       *loop.Loop
 	Dispatcher *dispatch.Dispatcher
-	VM         string
+	// Applied returns the newest view that the dispatcher goes by.
+	Applied func() *view.View
+	VM      string
 	// Incarnation is unique to this process lifetime.
 	Incarnation     uint64
 	Limits          frontdoor.Limits
@@ -82,7 +84,7 @@
 	for _, name := range passive {
 		node.Passive(name)
 	}
-	node.Service("usage", usage.New(o.Loop, o.Dispatcher, handler.InFlight))
+	node.Service("usage", usage.New(o.Loop, o.Dispatcher, handler.InFlight, o.Applied))
 	node.Service("frontdoor", t.Server)
 	return t
 }
--- a/root/traffic/usage/usage.go
+++ b/root/traffic/usage/usage.go
@@ -8,6 +8,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 )
 
@@ -19,11 +20,13 @@
 	loop       *loop.Loop
 	dispatcher *dispatch.Dispatcher
 	inFlight   func() int
+	applied    func() *view.View
 }
 
-// New returns a Reporter. inFlight counts callers' requests being served.
-func New(l *loop.Loop, d *dispatch.Dispatcher, inFlight func() int) *Reporter {
-	return &Reporter{loop: l, dispatcher: d, inFlight: inFlight}
+// New returns a Reporter. inFlight counts callers' requests being served;
+// applied returns the newest view that the dispatcher goes by.
+func New(l *loop.Loop, d *dispatch.Dispatcher, inFlight func() int, applied func() *view.View) *Reporter {
+	return &Reporter{loop: l, dispatcher: d, inFlight: inFlight, applied: applied}
 }
 
 // Serve runs until ctx ends.
@@ -41,8 +44,13 @@
 	}
 }
 
+// report notes the view before it counts, so that every place given out under
+// an older view is in the count.
 func (r *Reporter) report() machine.Traffic {
 	out := machine.Traffic{InFlight: r.inFlight()}
+	if v := r.applied(); v != nil {
+		out.ViewTerm, out.ViewSeq = v.Term, v.Seq
+	}
 	for _, l := range r.dispatcher.Own() {
 		if l.Running > 0 {
 			out.Loads = append(out.Loads, fleet.OwnLoad{Server: l.ID, Running: l.Running, Tokens: l.Tokens})
