--- a/cmd/wagtaildyke/main.go
+++ b/cmd/wagtaildyke/main.go
@@ -52,7 +52,7 @@
 			serveCommand(), formatCommand(), standinCommand(), demoCommand(),
 			settingsCommand(), tableCommand(), fleetCommand(), drainCommand(),
 			addressesCommand(), treeCommand(), reportCommand(),
-			confirmDeadCommand(), fencingCommand(),
+			orderCommand(), confirmDeadCommand(), fencingCommand(),
 		},
 		Writer:         stdout,
 		ErrWriter:      stderr,
--- a/root/fronts.go
+++ b/root/fronts.go
@@ -27,6 +27,9 @@
 		return err
 	}
 	options.Burn = recorder
+	if p.settings.Replica != nil {
+		options.Reader = p.loop
+	}
 	node := p.tree.Service("operator", operator.New(options))
 	node.Passive("burn")
 	return nil
@@ -40,6 +43,7 @@
 		Views:       p.views,
 		Loop:        p.loop,
 		Dispatcher:  p.dispatcher,
+		Applied:     p.applied.Load,
 		VM:          p.settings.VM,
 		Incarnation: p.incarnation,
 		Limits: frontdoor.Limits{
--- a/root/operator/burn/recorder.go
+++ b/root/operator/burn/recorder.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -51,8 +52,9 @@
 	mu     sync.Mutex
 	series map[string]*series
 
+	// seen is the last view that Observe counted.
+	seen   atomic.Pointer[view.View]
 	roleMu sync.Mutex
-	seen   *view.View
 	roles  map[string]fleet.Role
 	moves  windows
 }
@@ -94,12 +96,16 @@
 	s.refused(kind)
 }
 
-// Observe counts the role changes between two views. A change of role between
-// two observed views counts once.
+// Observe counts the role changes since the last observed view. Each outcome
+// observes the current view, so a change and its reversal between two outcomes
+// go unseen unless the publisher of views calls Observe too.
 func (r *Recorder) Observe(v *view.View) {
+	if v == nil || v == r.seen.Load() {
+		return
+	}
 	r.roleMu.Lock()
 	defer r.roleMu.Unlock()
-	if v == nil || v == r.seen {
+	if last := r.seen.Load(); last != nil && !v.Newer(last) {
 		return
 	}
 	next := make(map[string]fleet.Role, len(v.Servers))
@@ -110,16 +116,19 @@
 		}
 		next[s.ID] = s.Role
 	}
-	r.seen, r.roles = v, next
+	r.roles = next
+	r.seen.Store(v)
 	if moved.RoleChanges > 0 {
 		r.moves.add(&moved, r.now())
 	}
 }
 
-// class returns the row of the table; the name is NoClass when there is none,
+// class observes the current view and returns the row of the table; the name is NoClass when there is none,
 // so that callers can't make up series.
 func (r *Recorder) class(name string) (row table.Class, known bool) {
-	if v := r.views.Load(); v != nil {
+	v := r.views.Load()
+	r.Observe(v)
+	if v != nil {
 		if c, ok := v.Table.Class(name); ok {
 			return c, true
 		}
--- a/root/operator/operator.go
+++ b/root/operator/operator.go
@@ -80,6 +80,7 @@
 	r.Post("/v1/confirmations", s.confirmDead)
 	r.Put("/v1/fencing", s.setFencing)
 	r.Get("/v1/report", s.report)
+	r.Post("/v1/orders", s.order)
 	r.Get("/debug/vars", s.vars)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, fault.New(fault.NotFound, part, "no such path: %s", r.URL.Path))
