--- a/root/control/control.go
+++ b/root/control/control.go
@@ -2,10 +2,12 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/encode"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -47,8 +49,17 @@
 	if err != nil {
 		return nil, err
 	}
-	l := loop.New(m, o.Outlets, o.Machine.Self.Incarnation, node.Log().WithName("loop"))
+	var l *loop.Loop
+	encoder := encode.New(codec.EncodeSnapshot, func(ctx context.Context, done machine.SnapshotEncoded) {
+		// The inbox keeps this event; it is lost only when the process stops.
+		_ = l.Post(ctx, done)
+	})
+	o.Outlets.Encode = encoder.Submit
+	l = loop.New(m, o.Outlets, o.Machine.Self.Incarnation, node.Log().WithName("loop"))
 	node.Service("loop", l)
+	if o.Replica != nil {
+		node.Service("encode", encoder)
+	}
 	for _, name := range passive {
 		node.Passive(name)
 	}
@@ -82,6 +93,4 @@
 
 func (logCodec) DecodeCommand(b []byte) (replicated.Command, error) { return codec.DecodeCommand(b) }
 
-func (logCodec) EncodeSnapshot(s replicated.Snapshot) ([]byte, error) { return codec.EncodeSnapshot(s) }
-
 func (logCodec) DecodeSnapshot(b []byte) (replicated.Snapshot, error) { return codec.DecodeSnapshot(b) }
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -28,6 +28,7 @@
 	Publish   func(*view.View)
 	SetShares func([]fleet.Share)
 	Issue     func(machine.IssueOrder)
+	Encode    func(machine.EncodeSnapshot)
 	// Halt stops the process: a durable invariant is broken.
 	Halt func(*fault.Error)
 }
@@ -110,6 +111,8 @@
 		l.results.answer(e.ID, e.Result)
 	case machine.IssueOrder:
 		l.out.Issue(e)
+	case machine.EncodeSnapshot:
+		l.out.Encode(e)
 	case machine.History:
 		l.histories.answer(e.ID, e)
 	case machine.Halt:
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -78,10 +78,10 @@
 	Codec     Codec
 }
 
-// Codec turns commands and snapshots into bytes for the log.
+// Codec turns commands into bytes for the log, and bytes of the log into what
+// they stand for.
 type Codec interface {
 	EncodeCommand(replicated.Command) ([]byte, error)
 	DecodeCommand([]byte) (replicated.Command, error)
-	EncodeSnapshot(replicated.Snapshot) ([]byte, error)
 	DecodeSnapshot([]byte) (replicated.Snapshot, error)
 }
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -72,6 +72,8 @@
 		m.replica.persisted(ev.Seq)
 	case OrderDone:
 		m.holder.done(ev)
+	case SnapshotEncoded:
+		m.replica.snapshotEncoded(ev)
 	case ReadHistory:
 		m.readHistory(ev.ID)
 	case Stop:
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -125,6 +125,13 @@
 	Observed string
 }
 
+// SnapshotEncoded brings the bytes that an EncodeSnapshot asked for.
+type SnapshotEncoded struct {
+	Index uint64
+	Data  []byte
+	Err   error
+}
+
 // ReadHistory asks for the table's history as this replica has applied it.
 type ReadHistory struct{ ID uint64 }
 
@@ -140,7 +147,8 @@
 func (OrderDone) event() {}
 func (Stop) event()      {}
 
-func (ReadHistory) event() {}
+func (ReadHistory) event()     {}
+func (SnapshotEncoded) event() {}
 
 // StopPhase is one step of the graceful stop.
 type StopPhase uint8
@@ -190,6 +198,12 @@
 	Number uint64
 }
 
+// EncodeSnapshot asks for the bytes of the state as of an index.
+type EncodeSnapshot struct {
+	Index uint64
+	State replicated.Snapshot
+}
+
 // History answers a ReadHistory.
 type History struct {
 	ID      uint64
@@ -208,5 +222,6 @@
 func (Answer) effect()    {}
 func (Halt) effect()      {}
 
-func (IssueOrder) effect() {}
-func (History) effect()    {}
+func (IssueOrder) effect()     {}
+func (History) effect()        {}
+func (EncodeSnapshot) effect() {}
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -19,7 +19,9 @@
 	state *replicated.State
 	// applied is the index of the last entry in state; compacted the last snapshot's.
 	applied, compacted uint64
-	leader             *leader
+	// encoding is set while a snapshot is being encoded.
+	encoding bool
+	leader   *leader
 }
 
 func newReplica(m *Machine, rc ReplicaConfig) (*replica, error) {
@@ -134,22 +136,33 @@
 	return true
 }
 
-// compact hands the core a snapshot once enough entries were applied.
+// compact asks for the bytes of a snapshot once enough entries were applied.
 func (r *replica) compact() {
 	every := r.m.cfg.CompactEvery
-	if every == 0 || r.applied-r.compacted < every {
+	if every == 0 || r.encoding || r.applied-r.compacted < every {
 		return
 	}
-	data, err := r.codec.EncodeSnapshot(r.state.Snapshot())
-	if err != nil {
-		r.m.halt(fault.Internal, "snapshot at %d can't be encoded: %v", r.applied, err)
+	r.encoding = true
+	r.m.emit(EncodeSnapshot{Index: r.applied, State: r.state.Snapshot()})
+}
+
+// snapshotEncoded hands the snapshot to the core, unless a later one was
+// restored meanwhile.
+func (r *replica) snapshotEncoded(ev SnapshotEncoded) {
+	r.encoding = false
+	if ev.Err != nil {
+		r.m.halt(fault.Internal, "snapshot at %d can't be encoded: %v", ev.Index, ev.Err)
 		return
 	}
-	if err := r.core.Compact(r.applied, data); err != nil {
+	if ev.Index <= r.compacted {
+		return
+	}
+	if err := r.core.Compact(ev.Index, ev.Data); err != nil {
 		r.m.emit(Halt{Err: fault.From(err)})
 		return
 	}
-	r.compacted = r.applied
+	r.compacted = ev.Index
+	r.drain()
 }
 
 // followLeadership starts and ends the leader's work. A leader acts only once
