--- a/api/codec/fleet.go
+++ b/api/codec/fleet.go
@@ -9,19 +9,33 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
-func fromView(v *view.View) *api.View {
-	out := &api.View{Term: v.Term, Seq: v.Seq, TableVersion: v.Table.Version, Classes: fromClasses(v.Table.Classes)}
-	for _, s := range v.Servers {
+func fromUpdate(u *view.Update) *api.ViewUpdate {
+	out := &api.ViewUpdate{
+		Term: u.Term, Seq: u.Seq, Base: u.Base,
+		RemovedServers: u.RemovedServers, RemovedVms: u.RemovedVMs,
+	}
+	if u.Table != nil {
+		out.HasTable = true
+		out.TableVersion = u.Table.Version
+		out.Classes = fromClasses(u.Table.Classes)
+	}
+	for _, s := range u.Servers {
 		out.Servers = append(out.Servers, fromServer(s))
 	}
-	for _, vm := range v.VMs {
+	for _, vm := range u.VMs {
 		out.Vms = append(out.Vms, fromVM(vm))
 	}
 	return out
 }
 
-func toView(p *api.View) *view.View {
-	out := &view.View{Term: p.Term, Seq: p.Seq, Table: table.Table{Version: p.GetTableVersion(), Classes: toClasses(p.GetClasses())}}
+func toUpdate(p *api.ViewUpdate) *view.Update {
+	out := &view.Update{
+		Term: p.Term, Seq: p.Seq, Base: p.Base,
+		RemovedServers: p.RemovedServers, RemovedVMs: p.RemovedVms,
+	}
+	if p.HasTable {
+		out.Table = &table.Table{Version: p.TableVersion, Classes: toClasses(p.Classes)}
+	}
 	for _, s := range p.Servers {
 		out.Servers = append(out.Servers, toServer(s))
 	}
--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -159,8 +159,8 @@
 		Seq:        m.Seq,
 		Shares:     fromShares(m.Shares),
 	}
-	if m.View != nil {
-		out.View = fromView(m.View)
+	if m.Update != nil {
+		out.Update = fromUpdate(m.Update)
 	}
 	return out
 }
@@ -173,8 +173,8 @@
 		Seq:    p.Seq,
 		Shares: toShares(p.Shares),
 	}
-	if p.View != nil {
-		out.View = toView(p.View)
+	if p.Update != nil {
+		out.Update = toUpdate(p.Update)
 	}
 	return out
 }
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -93,7 +93,7 @@
 		}
 		return
 	}
-	if l.view.Table.Version < l.r.state.Table().Version {
+	if l.tableInView().Version < l.r.state.Table().Version {
 		l.rebuild()
 	}
 	if mine {
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -8,6 +8,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/admission"
 )
@@ -23,16 +24,15 @@
 	// out one view lease later.
 	since    time.Time
 	fleet    *fleet.Tracker
-	seq      uint64
-	view     *view.View
+	journal  *view.Journal
 	holders  map[string]*leaseHolder
 	waiting  map[uint64]proposer
 	inForce  []inForce
 	sweepAt  time.Time
 	ledgerAt time.Time
-	// loadDirty is set when only loads changed since the last view.
-	loadDirty bool
-	orders    *orders
+	// loadsAt is when the next view with new loads may be made.
+	loadsAt time.Time
+	orders  *orders
 }
 
 // leaseHolder is a process that holds a view lease.
@@ -54,6 +54,7 @@
 	l := &leader{
 		r: r, m: m, term: term, since: m.now,
 		fleet:    fleet.NewTracker(m.cfg.Timing.Fleet),
+		journal:  view.NewJournal(term),
 		holders:  map[string]*leaseHolder{},
 		waiting:  map[uint64]proposer{},
 		sweepAt:  m.now.Add(m.cfg.Timing.LeaderSweep),
@@ -64,22 +65,26 @@
 	return l
 }
 
-// rebuild makes a new view of the current state and pushes it.
+// rebuild makes a new view of the current state and pushes it to lease holders.
 func (l *leader) rebuild() {
-	l.seq++
-	l.loadDirty = false
-	l.view = &view.View{
-		Term:    l.term,
-		Seq:     l.seq,
-		Table:   l.r.state.Table(),
-		Servers: l.serversInView(),
-		VMs:     l.vmsInView(),
+	if !l.refresh() {
+		return
 	}
-	for id := range l.holders {
-		l.m.send(id, Grant{Term: l.term, Seq: l.seq, View: l.view})
+	for id, h := range l.holders {
+		l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: l.journal.Since(h.seq)})
 	}
 }
 
+// refresh makes a new view without pushing it: entries fetch it as they renew.
+func (l *leader) refresh() bool {
+	l.loadsAt = l.m.now.Add(l.m.cfg.Timing.RenewInterval)
+	return l.journal.Set(l.r.state.Table(), l.serversInView(), l.vmsInView())
+}
+
+func (l *leader) seq() uint64 { return l.journal.Current().Seq }
+
+func (l *leader) tableInView() *table.Table { return &l.journal.Current().Table }
+
 func (l *leader) serversInView() []fleet.Server {
 	servers := l.fleet.Servers()
 	drains := l.r.state.Drains()
@@ -126,11 +131,10 @@
 		}
 	}
 	l.fleet.HearLoads(from, msg.Loads)
-	l.loadDirty = l.loadDirty || len(msg.Loads) > 0
 	if changed {
 		l.rebuild()
-	} else if l.loadDirty && msg.ViewSeq == l.seq {
-		l.refreshLoads()
+	} else if !l.m.now.Before(l.loadsAt) {
+		l.refresh()
 	}
 	l.repairMembers(from, msg.Replica)
 	l.grant(from, msg)
@@ -144,14 +148,6 @@
 	l.commit(replicated.AbandonWork{Abandon: ledger.Abandon{Entry: vm.ID, Incarnation: vm.Incarnation - 1}}, proposer{})
 }
 
-// refreshLoads makes a new view without pushing it: entries fetch it as they renew.
-func (l *leader) refreshLoads() {
-	holders := l.holders
-	l.holders = nil
-	l.rebuild()
-	l.holders = holders
-}
-
 func (l *leader) grant(to string, msg Renew) {
 	lease := l.m.cfg.Timing.ViewLease
 	h := l.holders[to]
@@ -167,13 +163,14 @@
 	if msg.LoadsTerm == l.term {
 		h.loadsSeq = msg.LoadsSeq
 	}
+	h.seq, h.tableVersion = 0, 0
 	if msg.ViewTerm == l.term {
 		h.seq = msg.ViewSeq
 		h.tableVersion = msg.TableVersion
 	}
-	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq, Shares: l.shares(to)}
-	if msg.ViewTerm != l.term || msg.ViewSeq != l.seq {
-		g.View = l.view
+	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares(to)}
+	if h.seq != l.seq() {
+		g.Update = l.journal.Since(h.seq)
 	}
 	l.m.send(to, g)
 }
@@ -220,8 +217,8 @@
 
 // shares divides each class's fleet-wide limits over the entries by demand.
 func (l *leader) shares(to string) []fleet.Share {
-	out := make([]fleet.Share, 0, len(l.view.Table.Classes))
-	for _, c := range l.view.Table.Classes {
+	out := make([]fleet.Share, 0, len(l.tableInView().Classes))
+	for _, c := range l.tableInView().Classes {
 		split := admission.Split(c.Concurrency, l.demandsFor(c.Name))
 		if part, ok := split[to]; ok {
 			out = append(out, fleet.Share{Class: c.Name, Fraction: part})
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -165,8 +165,8 @@
 		return
 	}
 	b.leader = from
-	if g.View != nil && (g.View.Newer(b.current) || !b.m.keeps(ruleViewOrder)) {
-		b.adopt(g.View)
+	if g.Update != nil {
+		b.adopt(g.Update)
 	}
 	if g.Lease == 0 {
 		b.nextRenew = b.m.now
@@ -181,11 +181,17 @@
 	}
 }
 
-func (b *member) adopt(v *view.View) {
-	next := *v
-	next.LeaseUntil = b.current.LeaseUntil
-	next.Stopping = b.current.Stopping
-	b.current = &next
+// adopt puts an update in force when it is news.
+func (b *member) adopt(u *view.Update) {
+	cur := b.current
+	if !b.m.keeps(ruleViewOrder) {
+		cur = &view.View{LeaseUntil: cur.LeaseUntil, Stopping: cur.Stopping}
+	}
+	next, ok := u.Apply(cur)
+	if !ok {
+		return
+	}
+	b.current = next
 	b.m.emit(Publish{View: b.current})
 }
 
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -37,15 +37,15 @@
 	Stopped bool
 }
 
-// Grant extends a view lease. View is set when the receiver's is not current.
+// Grant extends a view lease. Update is set when the receiver's view is not current.
 type Grant struct {
 	// Echo is SentAt of the Renew; Lease is 0 in a pushed view.
 	Echo  time.Duration
 	Lease time.Duration
 	Term  uint64
 	// Seq is the current view; a lease counts only once that view is in force.
-	Seq  uint64
-	View *view.View
+	Seq    uint64
+	Update *view.Update
 	// Shares are the receiver's shares of each class's fleet-wide limits.
 	Shares []fleet.Share
 }
--- a/root/control/machine/orders.go
+++ b/root/control/machine/orders.go
@@ -90,7 +90,7 @@
 	ord := &order{server: cmd.Server, action: cmd.Action, to: []proposer{p}}
 	o.by[cmd.Server] = ord
 	o.l.rebuild()
-	ord.drainSeq = o.l.seq
+	ord.drainSeq = o.l.seq()
 }
 
 // advance moves orders on whose wait is over.
--- /dev/null
+++ b/root/control/view/update.go
@@ -0,0 +1,82 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+)
+
+// Update brings a view of the same term from any sequence at or after Base to
+// Seq. Base 0 marks a whole view.
+type Update struct {
+	Term, Base, Seq uint64
+	// Table is nil when it has not changed since Base.
+	Table *table.Table
+	// Servers and VMs are those changed since Base; the removed ones are named.
+	Servers        []fleet.Server
+	VMs            []fleet.VM
+	RemovedServers []string
+	RemovedVMs     []string
+}
+
+// Whole returns the update that stands for all of v.
+func Whole(v *View) *Update {
+	t := v.Table
+	return &Update{Term: v.Term, Seq: v.Seq, Table: &t, Servers: v.Servers, VMs: v.VMs}
+}
+
+// Apply returns the view after the update. It reports false when the update is
+// no news, or starts from a view that cur has not reached.
+func (u *Update) Apply(cur *View) (*View, bool) {
+	next := &View{Term: u.Term, Seq: u.Seq, LeaseUntil: cur.LeaseUntil, Stopping: cur.Stopping}
+	if !next.Newer(cur) {
+		return nil, false
+	}
+	if u.Base == 0 {
+		if u.Table != nil {
+			next.Table = *u.Table
+		}
+		next.Servers = u.Servers
+		next.VMs = u.VMs
+		return next, true
+	}
+	if u.Term != cur.Term || cur.Seq < u.Base {
+		return nil, false
+	}
+	next.Table = cur.Table
+	if u.Table != nil {
+		next.Table = *u.Table
+	}
+	next.Servers = merge(cur.Servers, u.Servers, u.RemovedServers, serverID)
+	next.VMs = merge(cur.VMs, u.VMs, u.RemovedVMs, vmID)
+	return next, true
+}
+
+func serverID(s fleet.Server) string { return s.ID }
+
+func vmID(v fleet.VM) string { return v.ID }
+
+// merge replaces, adds and removes members of a list sorted by id.
+func merge[T any](old, changed []T, removed []string, id func(T) string) []T {
+	if len(changed) == 0 && len(removed) == 0 {
+		return old
+	}
+	gone := make(map[string]bool, len(changed)+len(removed))
+	for _, name := range removed {
+		gone[name] = true
+	}
+	for _, m := range changed {
+		gone[id(m)] = true
+	}
+	out := make([]T, 0, len(old)+len(changed))
+	for _, m := range old {
+		if !gone[id(m)] {
+			out = append(out, m)
+		}
+	}
+	out = append(out, changed...)
+	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(id(a), id(b)) })
+	return out
+}
--- /dev/null
+++ b/root/control/view/update_test.go
@@ -0,0 +1,92 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// TestUpdatesLeadToTheSameView plays random changes of a view and random losses
+// of updates: whoever applies any of them ends with the leader's view.
+func TestUpdatesLeadToTheSameView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := view.NewJournal(3)
+		followers := []*view.View{{}, {}, {Term: 2, Seq: 90}}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			j.Set(drawTable(t), drawServers(t), drawVMs(t))
+			for i, f := range followers {
+				if rapid.Bool().Draw(t, "lost") {
+					continue
+				}
+				followers[i] = update(t, j, f)
+			}
+		}
+		for _, f := range followers {
+			got := update(t, j, f)
+			if diff := cmp.Diff(j.Current(), got, cmpopts.EquateEmpty()); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+	})
+}
+
+func update(t *rapid.T, j *view.Journal, f *view.View) *view.View {
+	base := uint64(0)
+	if f.Term == j.Current().Term {
+		base = f.Seq
+	}
+	next, ok := j.Since(base).Apply(f)
+	if !ok {
+		if f.Seq != j.Current().Seq {
+			t.Fatalf("stuck at %d; the present view is %d", f.Seq, j.Current().Seq)
+		}
+		return f
+	}
+	return next
+}
+
+func drawTable(t *rapid.T) table.Table {
+	return table.Table{Version: rapid.Uint64Range(1, 3).Draw(t, "version")}
+}
+
+func drawServers(t *rapid.T) []fleet.Server {
+	var out []fleet.Server
+	for i := range 4 {
+		if rapid.Bool().Draw(t, "present") {
+			load := fleet.Load{Running: rapid.IntRange(0, 2).Draw(t, "running"), ReportedAt: time.Unix(100, 0)}
+			out = append(out, fleet.Server{ID: fmt.Sprint(i), Load: load})
+		}
+	}
+	return out
+}
+
+func drawVMs(t *rapid.T) []fleet.VM {
+	var out []fleet.VM
+	for i := range 3 {
+		if rapid.Bool().Draw(t, "present") {
+			out = append(out, fleet.VM{ID: fmt.Sprint(i), InFlight: rapid.IntRange(0, 2).Draw(t, "in flight")})
+		}
+	}
+	return out
+}
+
+func TestAnUpdateFromAnUnreachedViewIsRefused(t *testing.T) {
+	c := qt.New(t)
+	u := &view.Update{Term: 3, Base: 5, Seq: 7}
+	_, ok := u.Apply(&view.View{Term: 3, Seq: 4})
+	c.Assert(ok, qt.IsFalse)
+	_, ok = u.Apply(&view.View{Term: 2, Seq: 6})
+	c.Assert(ok, qt.IsFalse)
+	next, ok := u.Apply(&view.View{Term: 3, Seq: 6})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Seq, qt.Equals, uint64(7))
+}
--- a/root/process.go
+++ b/root/process.go
@@ -351,3 +351,6 @@
 		Log:       p.log.WithName("operator"),
 	}, err
 }
+
+// Tree returns the supervisor tree's state.
+func (p *Process) Tree() supervise.Info { return p.tree.Info() }
