--- a/root/traffic/admission/core.go
+++ b/root/traffic/admission/core.go
@@ -9,13 +9,11 @@
 )
 
 const (
-	// maxWait bounds a predicted wait and a suggested retry.
-	maxWait = 5 * time.Minute
 	// minRetry is the shortest suggested wait before a retry.
 	minRetry = 250 * time.Millisecond
 	// waitMargin multiplies the predicted wait before it is compared with the
 	// deadline.
-	waitMargin = 1.2
+	waitMargin = 1.5
 )
 
 // Core is the line of one entry: a queue per class, served by place and then by
@@ -25,6 +23,8 @@
 	order   []*queue
 	virtual map[int]float64
 	running map[uint64]*Item
+	// total measures the rate of all classes together.
+	total drain
 }
 
 // NewCore returns a core without classes.
@@ -96,7 +96,7 @@
 		return Refusal{Item: it, Reason: UnknownClass}, false
 	}
 	q.demand.add(now, 1)
-	q.drain.update(now, len(q.waiting) > 0)
+	c.measure(now, q)
 	if r, ok := c.check(now, q, it); !ok {
 		return r, false
 	}
@@ -104,10 +104,16 @@
 	return Refusal{}, true
 }
 
+// measure closes the windows of the class's and the whole drain rate.
+func (c *Core) measure(now time.Time, q *queue) {
+	q.drain.update(now, len(q.waiting) > 0)
+	c.total.update(now, c.Waiting() > 0)
+}
+
 // check applies the limits that refuse at arrival. The rate comes last, so that
 // an item refused for another reason uses none of it.
 func (c *Core) check(now time.Time, q *queue, it Item) (Refusal, bool) {
-	wait := time.Duration(waitMargin * float64(q.drain.wait(q.queued)))
+	wait := time.Duration(waitMargin * float64(c.wait(now, q)))
 	switch {
 	case q.class.Tokens > 0 && it.Tokens > q.class.Tokens:
 		return Refusal{Item: it, Reason: TooManyTokens}, false
@@ -145,7 +151,7 @@
 		return Refusal{}, false
 	}
 	it := q.take(i)
-	wait := q.drain.wait(q.queued)
+	wait := c.wait(now, q)
 	return Refusal{Item: *it, Reason: QueueFull, RetryAfter: max(minRetry, wait)}, true
 }
 
@@ -167,6 +173,16 @@
 	return true
 }
 
+// Predict replaces the predicted service time of every waiting item, so that
+// what was learned since its arrival counts.
+func (c *Core) Predict(service func(id uint64) time.Duration) {
+	for _, q := range c.order {
+		for _, it := range q.waiting {
+			it.Service = service(it.ID)
+		}
+	}
+}
+
 // Expire refuses the waiting items that can no longer meet their deadline.
 func (c *Core) Expire(now time.Time) []Refusal {
 	var refused []Refusal
@@ -227,8 +243,8 @@
 		}
 		tried[best] = true
 		q := group[best]
-		q.drain.update(now, true)
-		if it, ok := c.grantFrom(q, place); ok {
+		c.measure(now, q)
+		if it, ok := c.grantFrom(now, q, place); ok {
 			c.passOver(group, tried, best)
 			return it, true
 		}
@@ -249,7 +265,7 @@
 }
 
 // grantFrom grants the first placeable item among the class's first few.
-func (c *Core) grantFrom(q *queue, place func(Item) bool) (Item, bool) {
+func (c *Core) grantFrom(now time.Time, q *queue, place func(Item) bool) (Item, bool) {
 	if q.blocked() {
 		return Item{}, false
 	}
@@ -264,6 +280,8 @@
 		q.take(i)
 		c.virtual[q.class.Place] = math.Max(c.virtual[q.class.Place], q.grant(it))
 		c.running[it.ID] = it
+		c.total.grant(it.Cost)
+		q.used.add(now, it.Cost)
 		return *it, true
 	}
 	return Item{}, false
@@ -288,7 +306,7 @@
 	delete(c.running, id)
 	q := c.queues[it.Class]
 	q.release(it, actual)
-	q.drain.update(now, len(q.waiting) > 0)
+	c.measure(now, q)
 	if q.removed && q.running == 0 {
 		delete(c.queues, it.Class)
 		c.order = slices.DeleteFunc(c.order, func(o *queue) bool { return o == q })
@@ -315,7 +333,7 @@
 			Running: q.running,
 			Waiting: len(q.waiting),
 			Rate:    q.demand.rate,
-			Wait:    q.drain.wait(q.queued),
+			Wait:    c.wait(now, q),
 		})
 	}
 	return out
--- a/root/traffic/admission/drain.go
+++ b/root/traffic/admission/drain.go
@@ -6,26 +6,33 @@
 )
 
 const (
-	// drainWindow is the length of one sample of a queue's drain rate.
+	// drainWindow is the length of one sample of a drain rate.
 	drainWindow = 500 * time.Millisecond
 	// drainMemory is the time constant of the average over samples.
 	drainMemory = 4 * time.Second
+	// meterMemory is the time constant of a meter.
+	meterMemory = 5 * time.Second
+	// trustedSamples is the number of successive samples after which a class's
+	// own drain rate is used.
+	trustedSamples = 4
 )
 
-// drain measures the cost per second that a class is granted while it has a
-// queue. It captures weights, limits and other classes without modelling them.
+// drain measures the cost per second that is granted while a queue stands. Time
+// without a queue says nothing about it and leaves the average as it is.
 type drain struct {
 	rate    float64
 	granted float64
 	since   time.Time
 	// backlogged says that the queue was non-empty for the whole window.
 	backlogged bool
+	// samples counts successive windows with a queue.
+	samples int
 }
 
-// grant adds a granted cost to the present sample.
+// grant adds a granted cost to the present window.
 func (d *drain) grant(cost float64) { d.granted += cost }
 
-// update closes the sample when its window has passed.
+// update closes the window when its time has passed.
 func (d *drain) update(now time.Time, queued bool) {
 	if !queued {
 		d.backlogged = false
@@ -40,16 +47,13 @@
 	d.backlogged = queued
 }
 
-// sample mixes the closed window into the average. A window without a constant
-// queue is only a lower bound of the rate.
 func (d *drain) sample(elapsed time.Duration) {
-	if elapsed > 4*drainMemory {
+	if !d.backlogged {
+		d.samples = 0
 		return
 	}
+	d.samples++
 	seen := d.granted / elapsed.Seconds()
-	if !d.backlogged && seen < d.rate {
-		return
-	}
 	if d.rate == 0 {
 		d.rate = seen
 		return
@@ -58,11 +62,20 @@
 	d.rate += weight * (seen - d.rate)
 }
 
-// wait returns the predicted time to grant the given cost.
-func (d *drain) wait(cost float64) time.Duration {
-	if d.rate <= 0 || cost <= 0 {
-		return 0
+// trusted reports whether the queue has stood long enough to measure its rate.
+func (d *drain) trusted() bool { return d.samples >= trustedSamples }
+
+// meter is a moving average of amounts per second.
+type meter struct {
+	rate float64
+	at   time.Time
+}
+
+// add counts an amount at now.
+func (m *meter) add(now time.Time, amount float64) {
+	if elapsed := now.Sub(m.at); elapsed > 0 {
+		m.rate *= math.Exp(-elapsed.Seconds() / meterMemory.Seconds())
+		m.at = now
 	}
-	seconds := math.Min(cost/d.rate, maxWait.Seconds())
-	return time.Duration(seconds * float64(time.Second))
+	m.rate += amount / meterMemory.Seconds()
 }
--- a/root/traffic/admission/queue.go
+++ b/root/traffic/admission/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -14,8 +13,6 @@
 	// maxLagItems bounds how far a class that could not be placed may fall
 	// behind in virtual time, in items of its present cost.
 	maxLagItems = 4
-	// demandMemory is the time constant of the arrival rate.
-	demandMemory = 5 * time.Second
 )
 
 // queue is one class: its waiting items, what runs, and its virtual time.
@@ -28,7 +25,8 @@
 	tokens  int
 	bucket  bucket
 	drain   drain
-	demand  demand
+	// demand meters arrivals, used the granted cost.
+	demand, used meter
 	// start and finish are the tags of start-time fair queuing.
 	start, finish float64
 	// removed marks a class that has left the table and still has running work.
@@ -104,18 +102,3 @@
 	}
 	q.start = math.Max(q.start, floor)
 }
-
-// demand is a moving average of arrivals per second.
-type demand struct {
-	rate float64
-	at   time.Time
-}
-
-// add counts n arrivals at now.
-func (d *demand) add(now time.Time, n float64) {
-	if elapsed := now.Sub(d.at); elapsed > 0 {
-		d.rate *= math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
-		d.at = now
-	}
-	d.rate += n / demandMemory.Seconds()
-}
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -17,6 +17,8 @@
 	retryRatio = 0.1
 	// retryBurst bounds the retries that can be saved up.
 	retryBurst = 10
+	// reservePart is the largest part of a request's time kept for running it.
+	reservePart = 0.85
 	// noBackendRetry is the suggested wait when no server can take the work.
 	noBackendRetry = time.Second
 	// notReadyRetry is the suggested wait while the view lease is out.
@@ -32,6 +34,10 @@
 // waiting is a request in line.
 type waiting struct {
 	work scheduling.Work
+	// maxOutput bounds the answer, in tokens; 0 is no bound.
+	maxOutput int
+	// allowed is the time from arrival to deadline.
+	allowed time.Duration
 }
 
 // granted is a request with a place.
@@ -74,7 +80,9 @@
 	}
 	s.view = v
 	s.sched.SetServers(v.Servers)
-	return s.applyClasses()
+	refused := s.applyClasses()
+	s.core.Predict(s.service)
+	return refused
 }
 
 // SetShares sets the leased parts of the classes' fleet-wide limits, 0 to 1. A
@@ -118,7 +126,9 @@
 	if refusal, ok := s.core.Arrive(now, item); !ok {
 		return 0, refusalError(refusal)
 	}
-	s.line[item.ID] = &waiting{work: work}
+	s.line[item.ID] = &waiting{
+		work: work, maxOutput: r.MaxOutputTokens, allowed: item.Deadline.Sub(item.Arrived),
+	}
 	return item.ID, nil
 }
 
@@ -171,10 +181,27 @@
 		Tokens:   r.PromptTokens + int(est.Mean),
 		Arrived:  arrived,
 		Deadline: deadline,
-		Service:  s.sched.Predict(r.Target, r.PromptTokens, est.High),
+		Service:  s.reserve(&work, est, deadline.Sub(arrived)),
 	}
 }
 
+// service predicts the time that a waiting request takes once granted.
+func (s *State) service(id uint64) time.Duration {
+	w := s.line[id]
+	est := s.sched.Lengths().Estimate(w.work.Class, w.work.Caller, w.maxOutput)
+	return s.reserve(&w.work, est, w.allowed)
+}
+
+// reserve returns the time kept for running a request: enough for a long
+// answer, but at most a part of the whole time allowed, so that a short
+// deadline does not refuse work that most likely meets it.
+func (s *State) reserve(w *scheduling.Work, est scheduling.Estimate, allowed time.Duration) time.Duration {
+	mean := s.sched.Predict(w.Target, w.PromptTokens, est.Mean)
+	high := s.sched.Predict(w.Target, w.PromptTokens, est.High)
+	bound := time.Duration(reservePart * float64(allowed))
+	return max(mean, min(high, bound))
+}
+
 // Grants places what can run now and refuses what can no longer meet its
 // deadline.
 func (s *State) Grants(now time.Time) ([]Grant, []Refused) {
@@ -183,8 +210,9 @@
 		return nil, refused
 	}
 	var grants []Grant
+	full := map[need]bool{}
 	for {
-		g, ok := s.grantOne(now)
+		g, ok := s.grantOne(now, full)
 		if !ok {
 			return grants, refused
 		}
@@ -192,10 +220,25 @@
 	}
 }
 
-func (s *State) grantOne(now time.Time) (Grant, bool) {
+// need is what decides whether any server has room for a request.
+type need struct {
+	target string
+	stage  scheduling.Stage
+	long   bool
+}
+
+// grantOne places one request. full remembers the needs that found no room in
+// this pass, in which room only shrinks.
+func (s *State) grantOne(now time.Time, full map[need]bool) (Grant, bool) {
 	var g Grant
 	item, ok := s.core.Grant(now, func(it admission.Item) bool {
-		server, found := s.sched.Pick(now, &s.line[it.ID].work)
+		w := &s.line[it.ID].work
+		n := need{w.Target, w.Stage, w.Long}
+		if full[n] {
+			return false
+		}
+		server, found := s.sched.Pick(now, w)
+		full[n] = !found && len(w.Exclude) == 0
 		g.Server = server
 		return found
 	})
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -74,7 +74,7 @@
 
 func (s *Scheduler) describe(now time.Time, w *Work, srv *server, t *fleetTotals, keepRoom bool) Candidate {
 	c := Candidate{
-		Server:    srv.Server,
+		Server:    &srv.Server,
 		Own:       srv.own,
 		OwnLong:   srv.ownLong,
 		Reported:  srv.reported(),
--- a/root/traffic/scheduling/estimate.go
+++ b/root/traffic/scheduling/estimate.go
@@ -6,7 +6,7 @@
 	// estimateWeight is the weight of a new answer in the averages.
 	estimateWeight = 0.1
 	// highQuantile is the quantile kept beside the mean.
-	highQuantile = 0.99
+	highQuantile = 0.995
 	// quantileStep is the relative step of the quantile's approximation.
 	quantileStep = 0.2
 	// defaultOutput is assumed before any answer is seen, in tokens.
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -86,7 +86,7 @@
 // active one may take the work once it has room.
 func (s *Scheduler) Offers(w *Work) (known, active bool) {
 	for _, srv := range s.servers {
-		c := Candidate{Server: srv.Server}
+		c := Candidate{Server: &srv.Server}
 		if !(TargetFilter{}).Keep(w, &c) {
 			continue
 		}
@@ -106,13 +106,13 @@
 		return fleet.Server{}, false
 	}
 	if probe := slices.IndexFunc(kept, isSlow); probe >= 0 {
-		return kept[probe].Server, true
+		return *kept[probe].Server, true
 	}
 	scores := make([]float64, len(kept))
 	for i := range kept {
 		scores[i] = s.score(w, &kept[i])
 	}
-	return kept[s.picker.Pick(kept, scores)].Server, true
+	return *kept[s.picker.Pick(kept, scores)].Server, true
 }
 
 func (s *Scheduler) keep(now time.Time, w *Work) []Candidate {
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -37,7 +37,7 @@
 
 // Candidate is a server with what this entry knows of it.
 type Candidate struct {
-	Server fleet.Server
+	Server *fleet.Server
 	// Own is this entry's running requests on the server, OwnLong the long ones.
 	Own, OwnLong int
 	// Peers is the estimate of the other entries' running requests.
