--- a/cmd/wagtaildyke/order.go
+++ b/cmd/wagtaildyke/order.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
+	"github.com/wagtaildyke/wagtaildyke/root/orders"
 )
 
 func orderCommand() *cli.Command {
@@ -32,14 +33,17 @@
 }
 
 func sendOrder(ctx context.Context, c *cli.Command) error {
-	if c.Args().Len() != 1 {
-		return fault.New(fault.Invalid, part, "order takes one backend server")
+	server, err := oneArg(c, "backend server")
+	if err != nil {
+		return err
 	}
 	req := operator.OrderRequest{
-		Server: c.Args().First(), Role: c.String("role"), Model: c.String("model"),
+		Server: server, Role: c.String("role"), Model: c.String("model"),
 		Adapter: c.String("adapter"), Version: c.String("version"),
 	}
-	req.Action = actionOf(req)
+	if req.Action = actionOf(req); req.Action == "" {
+		return wrongUse("%s needs --role or --model", c.FullName())
+	}
 	cl, err := newClient(c)
 	if err != nil {
 		return err
@@ -54,19 +58,21 @@
 	if err := json.Unmarshal(r.body, &settled); err != nil {
 		return fault.Wrap(err, fault.Internal, part, "the answer is not JSON")
 	}
-	fmt.Fprintf(c.Root().Writer, "%s: order %d took effect (%s)\n", settled.Server, settled.Fence, settled.Observed)
-	return nil
+	_, err = fmt.Fprintf(stdout(c), "%s: order %d took effect (%s)\n", settled.Server, settled.Fence, settled.Observed)
+	return err
 }
 
 func actionOf(req operator.OrderRequest) string {
 	switch {
 	case req.Role != "":
-		return "change_role"
+		return orders.ActionChangeRole
 	case req.Adapter != "":
-		return "load_adapter"
+		return orders.ActionLoadAdapter
 	case req.Version != "":
-		return "load_version"
+		return orders.ActionLoadVersion
+	case req.Model != "":
+		return orders.ActionLoadModel
 	default:
-		return "load_model"
+		return ""
 	}
 }
--- a/root/operator/order.go
+++ b/root/operator/order.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -32,8 +31,8 @@
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var req OrderRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
-		s.refuse(w, fault.New(fault.Invalid, part, "the body is not an order request: %v", err))
+	if err := readJSON(w, r, &req); err != nil {
+		s.refuse(w, err)
 		return
 	}
 	action, err := req.action()
