--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -37,15 +37,15 @@
 	Stopped bool
 }
 
-// Grant extends a view lease. View is set when the receiver's is not current.
+// Grant extends a view lease. Update is set when the receiver's view is not current.
 type Grant struct {
 	// Echo is SentAt of the Renew; Lease is 0 in a pushed view.
 	Echo  time.Duration
 	Lease time.Duration
 	Term  uint64
 	// Seq is the current view; a lease counts only once that view is in force.
-	Seq  uint64
-	View *view.View
+	Seq    uint64
+	Update *view.Update
 	// Shares are the receiver's shares of each class's fleet-wide limits.
 	Shares []fleet.Share
 }
@@ -125,6 +125,13 @@
 	Observed string
 }
 
+// SnapshotEncoded brings the bytes that an EncodeSnapshot asked for.
+type SnapshotEncoded struct {
+	Index uint64
+	Data  []byte
+	Err   error
+}
+
 // ReadHistory asks for the table's history as this replica has applied it.
 type ReadHistory struct{ ID uint64 }
 
@@ -140,7 +147,8 @@
 func (OrderDone) event() {}
 func (Stop) event()      {}
 
-func (ReadHistory) event() {}
+func (ReadHistory) event()     {}
+func (SnapshotEncoded) event() {}
 
 // StopPhase is one step of the graceful stop.
 type StopPhase uint8
@@ -190,6 +198,12 @@
 	Number uint64
 }
 
+// EncodeSnapshot asks for the bytes of the state as of an index.
+type EncodeSnapshot struct {
+	Index uint64
+	State replicated.Snapshot
+}
+
 // History answers a ReadHistory.
 type History struct {
 	ID      uint64
@@ -208,5 +222,6 @@
 func (Answer) effect()    {}
 func (Halt) effect()      {}
 
-func (IssueOrder) effect() {}
-func (History) effect()    {}
+func (IssueOrder) effect()     {}
+func (History) effect()        {}
+func (EncodeSnapshot) effect() {}
