--- /dev/null
+++ b/root/orders/orders_test.go
@@ -0,0 +1,76 @@
+package orders_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/orders"
+	"github.com/wagtaildyke/wagtaildyke/standin"
+)
+
+func start(t *testing.T, checks bool) (*standin.Server, fleet.Server, *orders.Sender, <-chan machine.OrderDone) {
+	engine := standin.New(standin.Options{ID: "engine-1", Models: []string{"m"}, Slots: 1, PrefillRate: 1, ChecksFencing: checks})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	done := make(chan machine.OrderDone, 4)
+	sender := orders.New(func(d machine.OrderDone) { done <- d }, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = sender.Serve(ctx) }()
+	return engine, fleet.Server{ID: "engine-1", Address: server.URL}, sender, done
+}
+
+func change(fence uint64, role fleet.Role) authority.Order {
+	return authority.Order{Fence: fence, Action: authority.Action{Kind: authority.ChangeRole, Role: role}}
+}
+
+func TestAnOrderTakesEffectOnce(t *testing.T) {
+	c := qt.New(t)
+	engine, server, sender, done := start(t, true)
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(3, fleet.Prefill), Number: 3})
+	d := <-done
+	c.Assert(d.Applied, qt.IsTrue)
+	c.Assert(d.Fence, qt.Equals, uint64(3))
+	c.Assert(len(engine.Orders()), qt.Equals, 1)
+}
+
+func TestAnOldOrderHasNoEffect(t *testing.T) {
+	c := qt.New(t)
+	engine, server, sender, done := start(t, true)
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(5, fleet.Prefill), Number: 5})
+	<-done
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(4, fleet.Decode), Number: 4})
+	d := <-done
+	c.Assert(d.Applied, qt.IsFalse)
+	c.Assert(len(engine.Orders()), qt.Equals, 1)
+}
+
+// TestAnOrderWithoutAnswerIsRepeated drops the first answers.
+func TestAnOrderWithoutAnswerIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	engine, server, sender, done := start(t, false)
+	engine.SetFaults(standin.Faults{IgnoreOrders: true})
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(1, fleet.Decode), Number: 1})
+	engine.SetFaults(standin.Faults{})
+	d := <-done
+	c.Assert(d.Applied, qt.IsTrue)
+}
+
+// TestObservingRaisesTheNumber finds an order that did not take effect and
+// holds that it can't do so later.
+func TestObservingRaisesTheNumber(t *testing.T) {
+	c := qt.New(t)
+	engine, server, sender, done := start(t, true)
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(2, fleet.Decode), Observe: true, Number: 3})
+	c.Assert((<-done).Applied, qt.IsFalse)
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(2, fleet.Decode), Number: 2})
+	c.Assert((<-done).Applied, qt.IsFalse)
+	c.Assert(len(engine.Orders()), qt.Equals, 0)
+}
