--- a/demo/demo.go
+++ b/demo/demo.go
@@ -243,16 +243,17 @@
 	return nil
 }
 
-// announce prints the addresses, the line "ready", and a command to try.
+// announce prints the entries, the line "ready", the operator listeners, and a
+// command to try.
 func (c *cluster) announce() error {
 	var b strings.Builder
 	for _, p := range c.processes {
 		fmt.Fprintf(&b, "entry %s\n", p.EntryURL())
 	}
+	fmt.Fprintln(&b, "ready")
 	for _, p := range c.processes {
 		fmt.Fprintf(&b, "operator %s\n", p.OperatorURL())
 	}
-	fmt.Fprintln(&b, "ready")
 	fmt.Fprintf(&b, "try: curl -N %s/v1/chat/completions -d '%s'\n", c.processes[0].EntryURL(),
 		`{"model":"assistant","stream":true,"messages":[{"role":"user","content":"Which colour matches?"}]}`)
 	_, err := io.WriteString(c.o.Out, b.String())
--- a/root/operator/burn/burn_test.go
+++ b/root/operator/burn/burn_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -212,3 +213,32 @@
 	// e1 changed twice, e3 once; e2 left.
 	c.Check(report.Windows[2].RoleChanges, qt.Equals, uint64(3))
 }
+
+func TestRecordingFromManyGoroutinesLosesNothing(t *testing.T) {
+	const workers, each = 8, 500
+	r := burn.New(burn.Options{VM: "vm-0", Views: views()})
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for range each {
+				r.Answered("kiosk", burn.Timing{Whole: time.Millisecond})
+				r.Refused("kiosk", fault.Overloaded)
+			}
+			r.Snapshot()
+		})
+	}
+	group.Wait()
+	got := r.Totals()["kiosk"]
+	qt.Check(t, got, qt.DeepEquals, burn.Totals{Within: workers * each, Refused: map[string]uint64{"overloaded": workers * each}})
+	report := burn.Merge(time.Now(), 0.99, []burn.Snapshot{r.Snapshot()}, nil)
+	qt.Check(t, report.Windows[2].Classes[0].Within, qt.Equals, uint64(workers*each))
+}
+
+func BenchmarkAnswered(b *testing.B) {
+	r := burn.New(burn.Options{VM: "vm-0", Views: views()})
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Answered("kiosk", burn.Timing{Queue: time.Millisecond, FirstToken: 2 * time.Millisecond, Whole: 3 * time.Millisecond})
+		}
+	})
+}
