--- a/root/operator/burn/counts.go
+++ b/root/operator/burn/counts.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"slices"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -52,11 +54,16 @@
 // Buckets are the buckets of a histogram that are not empty, by index.
 type Buckets []Bucket
 
-// merge returns the sum of two histograms and changes neither.
+// merge returns the sum of two histograms and changes neither. The result takes
+// no more memory than it needs.
 func (b Buckets) merge(o Buckets) Buckets {
 	if len(o) == 0 {
 		return b
 	}
+	return slices.Clone(b.sum(o))
+}
+
+func (b Buckets) sum(o Buckets) Buckets {
 	out := make(Buckets, 0, len(b)+len(o))
 	for len(b) > 0 && len(o) > 0 {
 		switch {
@@ -77,8 +84,10 @@
 	// unitMicros is the unit of a histogram in microseconds.
 	unitMicros = 100
 	// maxUnits is 24 hours, the longest deadline of a class.
-	maxUnits           = 24 * 3600 * 1_000_000 / unitMicros
-	significantFigures = 2
+	maxUnits = 24 * 3600 * 1_000_000 / unitMicros
+	// significantFigures keeps a value to within a sixteenth. Deadlines are
+	// judged exactly, before a time goes into a histogram.
+	significantFigures = 1
 )
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/root/operator/burn/recorder.go
+++ b/root/operator/burn/recorder.go
@@ -18,9 +18,9 @@
 // NoClass names the series of requests whose class is not in the table.
 const NoClass = "(none)"
 
-// maxSeries bounds the classes with a series of their own; the requests of
-// further ones count under NoClass.
-const maxSeries = 1024
+// maxSeries bounds the classes with a series of their own: those of a full
+// table and some that left it lately. Further ones count under NoClass.
+const maxSeries = 640
 
 // Timing says where the time of one whole answer went. A zero is not measured.
 type Timing struct {
