--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -24,6 +24,8 @@
 	OrderTimeout time.Duration
 	// LeaderSweep is the time between the leader's checks for silence.
 	LeaderSweep time.Duration
+	// PushInterval is the least time between two pushes of changes of the fleet.
+	PushInterval time.Duration
 	// LedgerTick is the time between the leader's expiry commands.
 	LedgerTick time.Duration
 	// MaxClockDrift bounds the relative rate of two clocks, such as 0.01 for 1%.
@@ -41,6 +43,7 @@
 		ProposeTimeout: 8 * time.Second,
 		OrderTimeout:   15 * time.Minute,
 		LeaderSweep:    250 * time.Millisecond,
+		PushInterval:   50 * time.Millisecond,
 		LedgerTick:     time.Minute,
 		MaxClockDrift:  0.01,
 		Fleet: fleet.Timing{
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -10,7 +10,6 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/admission"
 )
 
 // leader is the work of the replica that leads: view leases, the fleet's soft
@@ -30,9 +29,14 @@
 	inForce  []inForce
 	sweepAt  time.Time
 	ledgerAt time.Time
+	// pushAt is when the next change of the fleet may be pushed; fleetDirty says
+	// that one waits.
+	pushAt     time.Time
+	fleetDirty bool
 	// loadsAt is when the next view with new loads may be made.
 	loadsAt time.Time
 	orders  *orders
+	shares  *shares
 }
 
 // leaseHolder is a process that holds a view lease.
@@ -61,18 +65,38 @@
 		ledgerAt: m.now.Add(m.cfg.Timing.LedgerTick),
 	}
 	l.orders = newOrders(l)
+	l.shares = &shares{l: l}
 	l.rebuild()
 	return l
 }
 
 // rebuild makes a new view of the current state and pushes it to lease holders.
 func (l *leader) rebuild() {
+	l.fleetDirty = false
+	l.pushAt = l.m.now.Add(l.m.cfg.Timing.PushInterval)
 	if !l.refresh() {
 		return
 	}
+	// Most holders have the same view in force and share one update.
+	updates := map[uint64]*view.Update{}
 	for id, h := range l.holders {
-		l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: l.journal.Since(h.seq)})
+		u := updates[h.seq]
+		if u == nil {
+			u = l.journal.Since(h.seq)
+			updates[h.seq] = u
+		}
+		l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: u})
+	}
+}
+
+// fleetChanged makes and pushes a new view, at most one a push interval: after a
+// change of leader every report brings news.
+func (l *leader) fleetChanged() {
+	if l.m.now.Before(l.pushAt) {
+		l.fleetDirty = true
+		return
 	}
+	l.rebuild()
 }
 
 // refresh makes a new view without pushing it: entries fetch it as they renew.
@@ -132,7 +156,7 @@
 	}
 	l.fleet.HearLoads(from, msg.Loads)
 	if changed {
-		l.rebuild()
+		l.fleetChanged()
 	} else if !l.m.now.Before(l.loadsAt) {
 		l.refresh()
 	}
@@ -168,7 +192,7 @@
 		h.seq = msg.ViewSeq
 		h.tableVersion = msg.TableVersion
 	}
-	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares(to)}
+	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.of(to)}
 	if h.seq != l.seq() {
 		g.Update = l.journal.Since(h.seq)
 	}
@@ -185,6 +209,9 @@
 
 func (l *leader) tick() {
 	now := l.m.now
+	if l.fleetDirty && !now.Before(l.pushAt) {
+		l.rebuild()
+	}
 	if now.Before(l.sweepAt) {
 		return
 	}
@@ -201,7 +228,12 @@
 	}
 }
 
-func (l *leader) nextWake() time.Time { return l.sweepAt }
+func (l *leader) nextWake() time.Time {
+	if l.fleetDirty {
+		return earlier(l.sweepAt, l.pushAt)
+	}
+	return l.sweepAt
+}
 
 // dropHolders forgets leases that ran out long ago.
 func (l *leader) dropHolders() {
@@ -215,36 +247,6 @@
 // readDone is unused by commands that go through the log.
 func (l *leader) readDone(consensus.ReadResult) {}
 
-// shares divides each class's fleet-wide limits over the entries by demand.
-func (l *leader) shares(to string) []fleet.Share {
-	out := make([]fleet.Share, 0, len(l.tableInView().Classes))
-	for _, c := range l.tableInView().Classes {
-		split := admission.Split(c.Concurrency, l.demandsFor(c.Name))
-		if part, ok := split[to]; ok {
-			out = append(out, fleet.Share{Class: c.Name, Fraction: part})
-		}
-	}
-	return out
-}
-
-// demandsFor returns what every entry with a lease reports for a class.
-func (l *leader) demandsFor(class string) []admission.EntryDemand {
-	var out []admission.EntryDemand
-	for id, h := range l.holders {
-		if h.vm.Address == "" || !l.m.now.Before(h.until) {
-			continue
-		}
-		d := admission.EntryDemand{Entry: id}
-		for _, reported := range h.demands {
-			if reported.Class == class {
-				d.Running, d.Waiting, d.Rate = reported.Running, reported.Waiting, reported.RatePerSecond
-			}
-		}
-		out = append(out, d)
-	}
-	return out
-}
-
 // repairMembers brings a replica that returned without its disk back as a
 // learner, takes out its old identity, and promotes it once it has caught up.
 func (l *leader) repairMembers(vm string, id consensus.NodeID) {
