--- a/root/control/machine/export_test.go
+++ b/root/control/machine/export_test.go
@@ -21,4 +21,5 @@
 	RuleViewOrder       = ruleViewOrder
 	RuleLeaderLease     = ruleLeaderLease
 	RuleDrainBeforeSend = ruleDrainBeforeSend
+	RuleOwnOrders       = ruleOwnOrders
 )
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -79,7 +79,8 @@
 	}
 	// Most holders have the same view in force and share one update.
 	updates := map[uint64]*view.Update{}
-	for id, h := range l.holders {
+	for _, id := range sortedKeys(l.holders) {
+		h := l.holders[id]
 		u := updates[h.seq]
 		if u == nil {
 			u = l.journal.Since(h.seq)
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -3,6 +3,9 @@
 package machine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -31,7 +34,7 @@
 	m := &Machine{cfg: cfg, now: now, started: now}
 	m.member = newMember(m)
 	m.proposals = newProposals(m)
-	m.holder = &holder{m: m}
+	m.holder = &holder{m: m, sending: map[string]uint64{}}
 	return m
 }
 
@@ -179,5 +182,8 @@
 	m.emit(Halt{Err: fault.New(kind, part, format, args...)})
 }
 
+// sortedKeys makes the order of effects the same in every run.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 // View returns the view in force at this process.
 func (m *Machine) View() *view.View { return m.member.current }
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -124,7 +124,8 @@
 // freshAnnouncements returns what was heard lately and forgets the rest.
 func (b *member) freshAnnouncements() []fleet.Heard {
 	out := make([]fleet.Heard, 0, len(b.heard))
-	for id, h := range b.heard {
+	for _, id := range sortedKeys(b.heard) {
+		h := b.heard[id]
 		age := b.m.now.Sub(h.at)
 		if age >= b.m.cfg.Timing.Fleet.RemoveAfter {
 			delete(b.heard, id)
--- a/root/control/machine/orders.go
+++ b/root/control/machine/orders.go
@@ -95,7 +95,8 @@
 
 // advance moves orders on whose wait is over.
 func (o *orders) advance() {
-	for _, ord := range o.by {
+	for _, server := range sortedKeys(o.by) {
+		ord := o.by[server]
 		switch {
 		case ord.phase == orderDraining && o.isQuiet(ord):
 			o.acquire(ord)
@@ -181,7 +182,7 @@
 		o.end(ord, result)
 	case !result.Authority.Order.State.Settled():
 		ord.phase = orderIssued
-		o.issue(ord, result.Authority.Order, true, result.Authority.Fence)
+		o.resolve(ord, *result.Authority)
 	default:
 		ord.phase = orderRecording
 		o.l.commit(replicated.RecordOrder{RecordOrder: authority.RecordOrder{
@@ -190,6 +191,16 @@
 	}
 }
 
+// resolve finds out what became of an unsettled order. One of this process's own
+// is not observed: its sender may still be at it, under the same number.
+func (o *orders) resolve(ord *order, out authority.Outcome) {
+	own := out.Order.Holder == o.self() && o.l.m.keeps(ruleOwnOrders)
+	if own && o.l.m.holder.isSending(ord.server, out.Order.Fence) {
+		return
+	}
+	o.issue(ord, out.Order, !own, out.Fence)
+}
+
 func (o *orders) recorded(cmd replicated.RecordOrder, result replicated.Result) {
 	ord := o.by[cmd.Server]
 	if ord == nil || ord.phase != orderRecording || cmd.Holder != o.self() {
@@ -211,7 +222,7 @@
 		ord.recovers = true
 		return
 	}
-	o.l.m.emit(IssueOrder{Server: server, Order: what, Observe: observe, Number: number})
+	o.l.m.holder.issue(IssueOrder{Server: server, Order: what, Observe: observe, Number: number})
 }
 
 func (o *orders) settled(cmd replicated.SettleOrder, result replicated.Result) {
@@ -236,7 +247,22 @@
 
 // holder is the process's side of the right to issue orders. It outlives the
 // process's leadership: an order that was sent is settled by its sender.
-type holder struct{ m *Machine }
+type holder struct {
+	m *Machine
+	// sending holds the number of the order under way per server, from its issue
+	// until it is settled.
+	sending map[string]uint64
+}
+
+func (h *holder) issue(e IssueOrder) {
+	h.sending[e.Server.ID] = e.Order.Fence
+	h.m.emit(e)
+}
+
+func (h *holder) isSending(server string, fence uint64) bool {
+	sending, ok := h.sending[server]
+	return ok && sending == fence
+}
 
 // done settles an order whose outcome is known, then gives the right up.
 func (h *holder) done(ev OrderDone) {
@@ -254,11 +280,15 @@
 // settle repeats until the order is settled or the right was lost.
 func (h *holder) settle(cmd authority.SettleOrder) {
 	h.m.proposals.propose(replicated.SettleOrder{SettleOrder: cmd}, func(res replicated.Result) {
-		switch {
-		case res.Err == nil:
-			h.release(authority.Release{Server: cmd.Server, Holder: cmd.Holder})
-		case fault.Is(res.Err, fault.NoQuorum):
+		if res.Err != nil && fault.Is(res.Err, fault.NoQuorum) {
 			h.settle(cmd)
+			return
+		}
+		if h.isSending(cmd.Server, cmd.Fence) {
+			delete(h.sending, cmd.Server)
+		}
+		if res.Err == nil {
+			h.release(authority.Release{Server: cmd.Server, Holder: cmd.Holder})
 		}
 	})
 }
--- a/root/control/machine/proposals.go
+++ b/root/control/machine/proposals.go
@@ -84,7 +84,8 @@
 }
 
 func (p *proposals) tick() {
-	for id, pr := range p.pending {
+	for _, id := range sortedKeys(p.pending) {
+		pr := p.pending[id]
 		switch {
 		case !p.m.now.Before(pr.deadline):
 			p.finish(id, replicated.Result{Err: noQuorum()})
--- a/root/control/machine/rules.go
+++ b/root/control/machine/rules.go
@@ -18,6 +18,8 @@
 	ruleLeaderLease
 	// ruleDrainBeforeSend waits for a server's streams before an order.
 	ruleDrainBeforeSend
+	// ruleOwnOrders leaves an unsettled order of this process to its sender.
+	ruleOwnOrders
 )
 
 // keeps reports whether the machine keeps a rule.
--- a/root/orders/orders.go
+++ b/root/orders/orders.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -28,6 +29,9 @@
 	retryFirst    = 200 * time.Millisecond
 	retryMost     = 3 * time.Second
 	maxReplyBytes = 1 << 20
+	// lateLimit is how long a try without an answer may still take effect after
+	// its connection was closed.
+	lateLimit = 2 * answerTimeout
 	// queueLength bounds orders waiting to be picked up; the control thread has
 	// at most one per backend server.
 	queueLength = 4096
@@ -76,13 +80,16 @@
 
 // carry sends or observes one order until its outcome is definite.
 func (s *Sender) carry(ctx context.Context, o machine.IssueOrder) {
+	// uncertainAt is when an earlier try ended without an answer.
+	var uncertainAt time.Time
 	for wait := retryFirst; ctx.Err() == nil; wait = min(2*wait, retryMost) {
-		done, err := s.try(ctx, o)
+		done, err := s.try(ctx, o, uncertainAt)
 		if err == nil {
 			s.log.Info("an order is settled", "server", o.Server.ID, "fence", o.Order.Fence, "applied", done.Applied)
 			s.done(done)
 			return
 		}
+		uncertainAt = time.Now()
 		s.log.Info("an order has no definite answer yet", "server", o.Server.ID, "fence", o.Order.Fence, "reason", err.Error())
 		pause(ctx, wait)
 	}
@@ -98,13 +105,29 @@
 }
 
 // try returns the definite outcome or an error when there is none yet.
-func (s *Sender) try(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error) {
+func (s *Sender) try(ctx context.Context, o machine.IssueOrder, uncertainAt time.Time) (machine.OrderDone, error) {
 	if o.Observe {
 		return s.observe(ctx, o)
 	}
-	return s.send(ctx, o)
+	done, err := s.send(ctx, o)
+	if err != nil || done.Applied || uncertainAt.IsZero() {
+		return done, err
+	}
+	// The refusal speaks of this try; an earlier one may have taken effect or do
+	// so yet. Its connection has been closed for at least that long.
+	seen, err := s.observe(ctx, o)
+	if err != nil || seen.Applied {
+		return seen, err
+	}
+	if time.Since(uncertainAt) < lateLimit {
+		return seen, errLate
+	}
+	return seen, nil
 }
 
+// errLate says that an earlier try may still take effect.
+var errLate = errors.New("an earlier try may still take effect")
+
 // send repeats the same order under the same number, which changes nothing more.
 func (s *Sender) send(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error) {
 	body, err := json.Marshal(encode(o.Order))
--- a/root/orders/orders_test.go
+++ b/root/orders/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -74,3 +75,26 @@
 	c.Assert((<-done).Applied, qt.IsFalse)
 	c.Assert(len(engine.Orders()), qt.Equals, 0)
 }
+
+// TestARefusalAfterALostAnswerIsChecked takes effect without an answer, then
+// refuses the repeated order: it must count as applied.
+func TestARefusalAfterALostAnswerIsChecked(t *testing.T) {
+	c := qt.New(t)
+	_, server, sender, done := start(t, false)
+	posts := 0
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodGet:
+			_, _ = w.Write([]byte(`{"fence":4,"role":"decode","done":[{"fence":4}]}`))
+		case posts == 0:
+			posts++
+			panic(http.ErrAbortHandler)
+		default:
+			w.WriteHeader(http.StatusConflict)
+		}
+	}))
+	t.Cleanup(engine.Close)
+	server.Address = engine.URL
+	sender.Submit(machine.IssueOrder{Server: server, Order: change(4, fleet.Decode), Number: 4})
+	c.Assert((<-done).Applied, qt.IsTrue)
+}
