--- a/root/control/consensus/log.go
+++ b/root/control/consensus/log.go
@@ -40,12 +40,15 @@
 	return l.entries[from:to:to]
 }
 
+// entryOverheadBytes is added to the data of an entry when sizes are bounded.
+const entryOverheadBytes = 32
+
 // batch returns the entries from first on, at least one and otherwise at most maxBytes.
 func (l *entryLog) batch(first uint64, maxBytes int) ([]Entry, int) {
 	size := 0
 	last := first
 	for ; last <= l.last(); last++ {
-		next := len(l.entries[last-l.base-1].Data)
+		next := len(l.entries[last-l.base-1].Data) + entryOverheadBytes
 		if last > first && size+next > maxBytes {
 			break
 		}
