--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -60,6 +60,8 @@
 	configs  []config
 	snapshot *Snapshot
 	restore  *Snapshot
+	// retain is the number of entries kept in memory below a snapshot.
+	retain uint64
 
 	electionAt time.Duration
 	// refuseVotesUntil is the promise on which leases rest.
@@ -94,7 +96,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, rules: safeRules(), rng: newRand(cfg)}
+	c := &Core{cfg: cfg, rules: safeRules(), rng: newRand(cfg), retain: retainedEntries}
 	if r.empty() && len(members.Voters) > 0 {
 		if err := members.check(); err != nil {
 			return nil, err
@@ -194,7 +196,7 @@
 	}
 	if c.now >= c.electionAt {
 		c.resetElection()
-		if c.members().isVoter(c.cfg.ID) {
+		if c.mayLead() {
 			c.preCampaign()
 		}
 	}
@@ -260,8 +262,8 @@
 	c.snapshot = &Snapshot{Index: index, Term: at, Members: c.configAt(index), Data: data}
 	c.disk.snapshot = true
 	c.dropConfigsBelow(index)
-	if index > retainedEntries {
-		c.log.compact(index - retainedEntries)
+	if index > c.retain {
+		c.log.compact(min(index-c.retain, c.log.written))
 	}
 	return nil
 }
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -146,7 +146,7 @@
 
 // receiveTimeoutNow starts the election that a leader asked for.
 func (c *Core) receiveTimeoutNow(m Message) {
-	if m.Term == c.term && c.role != leader && c.members().isVoter(c.cfg.ID) {
+	if m.Term == c.term && c.role != leader && c.mayLead() {
 		c.campaign(true)
 	}
 }
--- a/root/control/consensus/log.go
+++ b/root/control/consensus/log.go
@@ -71,7 +71,7 @@
 	l.written = index
 }
 
-// compact drops the entries up to index from memory.
+// compact drops the entries up to index, which were handed to the disk, from memory.
 func (l *entryLog) compact(index uint64) {
 	at, ok := l.term(index)
 	if !ok || index <= l.base {
--- a/root/control/consensus/members.go
+++ b/root/control/consensus/members.go
@@ -16,6 +16,21 @@
 // members returns the latest set in the log, committed or not.
 func (c *Core) members() Members { return c.configs[len(c.configs)-1].members }
 
+// mayLead reports whether this replica is a voter in the committed set or a
+// later one. While its removal is not committed, it may be the only replica
+// that can win an election and finish the change.
+func (c *Core) mayLead() bool {
+	for i := len(c.configs) - 1; i >= 0; i-- {
+		if c.configs[i].members.isVoter(c.cfg.ID) {
+			return true
+		}
+		if c.configs[i].index <= c.commit {
+			return false
+		}
+	}
+	return false
+}
+
 func (c *Core) configAt(index uint64) Members {
 	for i := len(c.configs) - 1; i > 0; i-- {
 		if c.configs[i].index <= index {
