--- a/root/storage/wal/open.go
+++ b/root/storage/wal/open.go
@@ -115,6 +115,9 @@
 		return 0, corrupt(name, len(magic), problem)
 	}
 	offset := len(magic) + startSize
+	if s.number > 1 && offset == len(data) {
+		return 0, corrupt(name, offset, "no batch after the start")
+	}
 	for offset < len(data) {
 		frames, size, ok := nextBatch(data[offset:], r.batch+1)
 		if !ok {
