--- a/root/traffic/dispatch/dispatcher.go
+++ b/root/traffic/dispatch/dispatcher.go
@@ -19,7 +19,10 @@
 	Seed uint64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
-	// Entries is the number of entries that share the fleet; at least 1.
+	// Self is this VM's id; it finds the entry's rank in the view.
+	Self string
+	// Entries is the number of entries that share the fleet, at least 1; a view
+	// that holds Self replaces it.
 	Entries int
 }
 
@@ -51,7 +54,7 @@
 	return &Dispatcher{
 		views:   o.Views,
 		now:     o.Now,
-		state:   NewState(o.Entries, o.Seed),
+		state:   NewState(o.Self, o.Entries, o.Seed),
 		waiters: map[uint64]chan result{},
 	}
 }
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/admission"
@@ -48,6 +49,7 @@
 // State holds one entry's decisions: the line and the servers. It is pure;
 // callers serialise access and pass the time.
 type State struct {
+	self    string
 	view    *view.View
 	core    *admission.Core
 	sched   *scheduling.Scheduler
@@ -59,10 +61,12 @@
 	retries admission.RetryBudget
 }
 
-// NewState returns the state of one of the given number of entries. Equal
+// NewState returns the state of one of the given number of entries. self is
+// its VM's id, by which it finds its rank among the entries of a view. Equal
 // seeds make equal choices.
-func NewState(entries int, seed uint64) *State {
+func NewState(self string, entries int, seed uint64) *State {
 	return &State{
+		self:    self,
 		core:    admission.NewCore(),
 		sched:   scheduling.New(entries, seed),
 		entries: max(1, entries),
@@ -80,11 +84,32 @@
 	}
 	s.view = v
 	s.sched.SetServers(v.Servers)
+	s.rank(v.VMs)
 	refused := s.applyClasses()
 	s.core.Predict(s.service)
 	return refused
 }
 
+// rank finds this entry among the view's entries. An entry that the view does
+// not hold keeps its rank.
+func (s *State) rank(vms []fleet.VM) {
+	index, entries, found := 0, 0, false
+	for _, vm := range vms {
+		if vm.Address == "" || vm.State == fleet.Leaving {
+			continue
+		}
+		entries++
+		if vm.ID < s.self {
+			index++
+		}
+		found = found || vm.ID == s.self
+	}
+	if found {
+		s.entries = entries
+		s.sched.SetEntries(index, entries)
+	}
+}
+
 // SetShares sets the leased parts of the classes' fleet-wide limits, 0 to 1. A
 // class that is not named keeps an even part.
 func (s *State) SetShares(shares map[string]float64) []Refused {
@@ -162,7 +187,7 @@
 		Class: r.Class, Caller: r.Caller, Target: r.Target, Stage: r.Stage,
 		PromptTokens: r.PromptTokens,
 		Output:       est.Mean,
-		Long:         scheduling.IsLong(cost),
+		Long:         s.sched.Lengths().IsLong(cost),
 		Prefix:       r.Prefix,
 		Exclude:      r.Exclude,
 	}
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -17,21 +17,28 @@
 
 // fleetTotals sums what an entry's parts are computed from.
 type fleetTotals struct {
-	slots, longSlots     int
-	own, ownLong         int
-	peers                float64
-	reported             int
+	slots, room int
+	// longHere is the slots for long work of the server being described.
+	longHere     int
+	own, ownLong int
+	peers        float64
+	reported     int
+	// running is what the servers reported, since what this entry began after.
+	running              float64
+	since                int
+	borrow, borrowLong   bool
+	longOverfull         bool
 	gapMedian, firstTime float64
 }
 
 // candidates describes every server that offers the work's target.
 func (s *Scheduler) candidates(now time.Time, w *Work) []Candidate {
-	keepRoom := now.Sub(s.lastShort) < shortMemory && !s.lastShort.IsZero()
 	offering := s.offering(w)
-	total := s.totals(now, offering, keepRoom)
+	total := s.totals(now, offering)
 	list := s.scratch.list[:0]
-	for _, srv := range offering {
-		list = append(list, s.describe(now, w, srv, &total, keepRoom))
+	for i, srv := range offering {
+		total.longHere = srv.longSlots(total.room, i, len(offering))
+		list = append(list, s.describe(now, w, srv, i, &total))
 	}
 	s.scratch.list = list
 	s.fillDomains(list)
@@ -48,14 +55,11 @@
 	return out
 }
 
-func (s *Scheduler) totals(now time.Time, offering []*server, keepRoom bool) fleetTotals {
+func (s *Scheduler) totals(now time.Time, offering []*server) fleetTotals {
 	var t fleetTotals
 	gaps, first := s.scratch.gaps[:0], s.scratch.first[:0]
 	for _, srv := range offering {
 		t.slots += srv.Slots
-		t.longSlots += srv.longSlots(keepRoom)
-		t.own += srv.own
-		t.ownLong += srv.ownLong
 		if srv.reported() {
 			t.peers += srv.reportedPeers()
 			t.reported++
@@ -67,12 +71,34 @@
 			first = append(first, srv.speed.first.value)
 		}
 	}
+	t.room = s.room.slots(now, t.slots, s.entries)
+	s.allowances(now, offering, &t)
 	t.gapMedian, t.firstTime = lowMedian(gaps), lowMedian(first)
 	s.scratch.gaps, s.scratch.first = gaps, first
 	return t
 }
 
-func (s *Scheduler) describe(now time.Time, w *Work, srv *server, t *fleetTotals, keepRoom bool) Candidate {
+// allowances decides whether the entry may borrow slots beyond its part, and
+// whether long work fills more than its slots already.
+func (s *Scheduler) allowances(now time.Time, offering []*server, t *fleetTotals) {
+	slots := 0
+	for _, srv := range offering {
+		if !srv.reported() || srv.reportAge(now) > staleReport {
+			continue
+		}
+		slots += srv.Slots
+		t.running += float64(srv.Load.Running + srv.Load.Waiting)
+		t.since += srv.begun - srv.begunAtReport
+	}
+	part := borrowExcess / float64(s.entries)
+	free := float64(slots)*(1-borrowMargin) - t.running
+	t.borrow = float64(t.since+1) <= free*part
+	t.borrowLong = float64(t.since+1) <= (free-float64(t.room))*part
+	short := s.room.average * float64(s.entries)
+	t.longOverfull = t.running > float64(t.slots-t.room)+short+overfull*float64(t.slots)
+}
+
+func (s *Scheduler) describe(now time.Time, w *Work, srv *server, i int, t *fleetTotals) Candidate {
 	c := Candidate{
 		Server:    &srv.Server,
 		Own:       srv.own,
@@ -80,14 +106,17 @@
 		Reported:  srv.reported(),
 		ReportAge: srv.reportAge(now),
 		Overlap:   srv.prefixes.overlap(w.Prefix),
-		LongSlots: srv.longSlots(keepRoom),
+		LongSlots: t.longHere,
 	}
 	c.Peers = s.peers(srv, &c, t)
 	c.Queued = float64(srv.Load.Waiting) * reportWeight(c.ReportAge)
-	c.OwnPart = s.part(srv.Slots, t.own, t.slots)
-	c.LongPart = s.part(c.LongSlots, t.ownLong, t.longSlots)
-	c.Since = srv.begun - srv.begunAtReport
-	c.BorrowPart = borrowExcess / float64(s.entries)
+	c.OwnPart = s.part(srv.Slots, i)
+	c.LongPart = s.part(c.LongSlots, i)
+	if t.longOverfull {
+		c.LongPart = 0
+	}
+	c.RoomFree = s.room.running < roomExcess*divideUp(t.room, s.entries)
+	c.Borrow, c.BorrowLong = t.borrow, t.borrowLong
 	c.Slowness = srv.speed.slowness(now, t.gapMedian, t.firstTime)
 	c.Probe = srv.speed.probeDue(now)
 	if c.Slowness < slowThreshold {
@@ -96,13 +125,15 @@
 	return c
 }
 
-// part returns the entry's part of one server's slots, rounded up; 0 once the
-// entry has used its part of all servers together.
-func (s *Scheduler) part(slots, ownTotal, slotsTotal int) int {
-	if ownTotal >= divideUp(slotsTotal, s.entries) {
-		return 0
+// part returns this entry's part of the slots of the i-th server. The parts of
+// all entries add up to the slots; what does not divide evenly rotates.
+func (s *Scheduler) part(slots, i int) int {
+	n := s.entries
+	whole, rest := slots/n, slots%n
+	if (s.index+i*rest)%n < rest {
+		return whole + 1
 	}
-	return divideUp(slots, s.entries)
+	return whole
 }
 
 func divideUp(a, b int) int { return (a + b - 1) / b }
--- a/root/traffic/scheduling/estimate.go
+++ b/root/traffic/scheduling/estimate.go
@@ -4,7 +4,7 @@
 
 const (
 	// estimateWeight is the weight of a new answer in the averages.
-	estimateWeight = 0.1
+	estimateWeight = 0.05
 	// highQuantile is the quantile kept beside the mean.
 	highQuantile = 0.995
 	// quantileStep is the relative step of the quantile's approximation.
@@ -17,8 +17,6 @@
 	// in place of its class's, minHighSeen that for the quantile.
 	minSeen     = 8
 	minHighSeen = 100
-	// longOutput is the estimated cost above which work counts as long.
-	longOutput = 384
 )
 
 // Estimate is a belief about the length of an answer, in tokens.
@@ -54,7 +52,8 @@
 
 // Lengths estimates output lengths by class and caller.
 type Lengths struct {
-	by map[lengthKey]*length
+	by    map[lengthKey]*length
+	sizes sizes
 }
 
 // NewLengths returns an estimator that has seen nothing.
@@ -120,11 +119,3 @@
 	}
 	return e
 }
-
-// Cost returns the work of a request in output-token equivalents.
-func Cost(promptTokens int, output float64) float64 {
-	return math.Max(1, prefillWeight*float64(promptTokens)+output)
-}
-
-// IsLong reports whether work of the given cost counts as long.
-func IsLong(cost float64) bool { return cost > longOutput }
--- a/root/traffic/scheduling/filter_slots.go
+++ b/root/traffic/scheduling/filter_slots.go
@@ -1,22 +1,29 @@
 package scheduling
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// staleReport is the age past which a report frees no slot for borrowing.
 	staleReport = 3 * time.Second
-	// borrowMargin is the share of a server's slots left free when an entry
-	// uses more than its own part.
+	// borrowMargin is the share of the slots left free when an entry uses more
+	// than its own part.
 	borrowMargin = 0.05
+	// overfull is the share of the slots by which reports may show more running
+	// than long work leaves room for before long work waits.
+	overfull = 0.0
 	// borrowExcess multiplies an entry's even part of the reported room, since
 	// seldom do all entries need their parts at once.
 	borrowExcess = 2.0
 )
 
 // SlotFilter keeps servers with a free slot. An entry may always use its own
-// part of a server's slots. It borrows more while a fresh report shows room,
-// and no more of that room per report than its part, so that entries that read
-// the same report do not overfill the server together.
+// part of a server's slots. It borrows more while a fresh report shows room:
+// no more of that room per report than its part, so that entries that read the
+// same report do not overfill the server together. A little short work may use
+// all of the reported room, which is kept for it.
 type SlotFilter struct{}
 
 // Keep implements Filter.
@@ -28,18 +35,57 @@
 		return false
 	}
 	if w.Long {
-		own := c.Own < c.OwnPart && c.OwnLong < c.LongPart
-		return own || borrows(c, c.LongSlots)
+		return c.Own < c.OwnPart && c.OwnLong < c.LongPart || c.BorrowLong && likelyFree(w, c)
+	}
+	if c.Own < c.OwnPart {
+		return true
 	}
-	return c.Own < c.OwnPart || borrows(c, c.Server.Slots)
+	return (c.Borrow || c.RoomFree && fresh(c)) && likelyFree(w, c)
 }
 
-// borrows reports whether the reported room under limit has a part left for
-// this entry.
-func borrows(c *Candidate, limit int) bool {
-	if !c.Reported || c.ReportAge > staleReport || c.Queued >= 1 {
-		return false
+// fresh reports whether the server's load report is recent enough to rely on.
+func fresh(c *Candidate) bool { return c.Reported && c.ReportAge <= staleReport }
+
+// The tiers of slots, the surest first.
+const (
+	// roomSlot is in this entry's part of the room kept for short work.
+	roomSlot = iota
+	// ownSlot is in this entry's part.
+	ownSlot
+	// borrowedSlot is likely free.
+	borrowedSlot
+	// takenSlot is likely taken, so that the work would queue on the server.
+	takenSlot
+)
+
+// tier says how sure it is that the work gets a slot at once.
+func tier(w *Work, c *Candidate) int {
+	switch {
+	case !likelyFree(w, c):
+		return takenSlot
+	case c.Own >= c.OwnPart:
+		return borrowedSlot
+	case !w.Long && c.OwnLong >= c.LongPart:
+		return roomSlot
+	default:
+		return ownSlot
+	}
+}
+
+// preferSure keeps the candidates of the surest tier present.
+func preferSure(w *Work, kept []Candidate) []Candidate {
+	best := takenSlot
+	for i := range kept {
+		best = min(best, tier(w, &kept[i]))
+	}
+	return slices.DeleteFunc(kept, func(c Candidate) bool { return tier(w, &c) > best })
+}
+
+// likelyFree reports whether the server is estimated to have a free slot.
+func likelyFree(w *Work, c *Candidate) bool {
+	limit := c.Server.Slots
+	if w.Long {
+		limit = c.LongSlots
 	}
-	room := float64(limit)*(1-borrowMargin) - float64(c.Server.Load.Running)
-	return float64(c.Since+1) <= room*c.BorrowPart
+	return c.Queued < 1 && c.Running()+1 <= float64(limit)
 }
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -39,7 +39,7 @@
 	if w.Long {
 		srv.ownLong++
 	} else {
-		s.lastShort = now
+		s.room.change(now, 1)
 	}
 	return r
 }
@@ -52,9 +52,10 @@
 	r.learn(now, n)
 	r.produced += n
 	r.progress(float64(n))
-	if !r.work.Long && r.produced > longOutput {
+	if !r.work.Long && r.sched.lengths.IsLong(float64(r.produced)) {
 		r.work.Long = true
 		r.server.ownLong++
+		r.sched.room.change(now, -1)
 	}
 }
 
@@ -123,6 +124,8 @@
 	srv.ownTokens -= r.outstanding
 	if r.work.Long {
 		srv.ownLong--
+	} else {
+		r.sched.room.change(now, -1)
 	}
 	if !r.lastToken.IsZero() {
 		srv.speed.streams--
@@ -138,6 +141,7 @@
 	}
 	if r.produced > 0 {
 		lengths.Observe(r.work.Class, r.work.Caller, r.produced)
+		lengths.sizes.observe(r.Cost())
 	}
 }
 
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -9,9 +9,6 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
-// shortMemory is how long room is kept for short work after the last of it.
-const shortMemory = 30 * time.Second
-
 // weighted is a scorer with its weight in the sum.
 type weighted struct {
 	Scorer
@@ -20,17 +17,18 @@
 
 // Scheduler chooses servers for one entry. Callers serialise access.
 type Scheduler struct {
-	entries int
-	servers []*server
-	byID    map[string]*server
-	filters []Filter
-	scorers []weighted
-	picker  Picker
-	lengths *Lengths
+	// index is this entry's rank among the entries.
+	index, entries int
+	servers        []*server
+	byID           map[string]*server
+	filters        []Filter
+	scorers        []weighted
+	picker         Picker
+	lengths        *Lengths
 	// paces holds the observed speed over all servers, by target.
-	paces     map[string]*pace
-	lastShort time.Time
-	scratch   candidates
+	paces   map[string]*pace
+	room    room
+	scratch candidates
 }
 
 // New returns a scheduler for one of the given number of entries. Equal seeds
@@ -38,6 +36,7 @@
 func New(entries int, seed uint64) *Scheduler {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 	return &Scheduler{
+		index:   int(seed % uint64(max(1, entries))),
 		entries: max(1, entries),
 		byID:    map[string]*server{},
 		filters: []Filter{
@@ -54,6 +53,13 @@
 	}
 }
 
+// SetEntries sets this entry's rank among the entries, from 0, and their
+// number. Entries with different ranks have parts of each server's slots that
+// add up to the whole.
+func (s *Scheduler) SetEntries(index, entries int) {
+	s.index, s.entries = index, max(1, entries)
+}
+
 // SetServers takes over the announced servers and their load reports.
 func (s *Scheduler) SetServers(announced []fleet.Server) {
 	seen := make(map[string]bool, len(announced))
@@ -117,7 +123,8 @@
 
 func (s *Scheduler) keep(now time.Time, w *Work) []Candidate {
 	all := s.candidates(now, w)
-	return slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
+	kept := slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
+	return preferSure(w, kept)
 }
 
 func (s *Scheduler) passes(w *Work, c *Candidate) bool {
--- a/root/traffic/scheduling/server.go
+++ b/root/traffic/scheduling/server.go
@@ -7,14 +7,8 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
-const (
-	// reportMemory is the time constant by which a load report loses weight.
-	reportMemory = 2 * time.Second
-	// shortRoom is the share of an engine's slots kept for short work.
-	shortRoom = 0.125
-	// minRoomSlots is the number of slots from which an engine keeps room.
-	minRoomSlots = 4
-)
+// reportMemory is the time constant by which a load report loses weight.
+const reportMemory = 2 * time.Second
 
 // server is a backend server with this entry's own counts and observations.
 type server struct {
@@ -57,16 +51,6 @@
 	return math.Max(0, float64(s.Load.Running-s.ownAtReport))
 }
 
-// longSlots returns the slots open to long work; room is kept only while short
-// work is about.
-func (s *server) longSlots(keepRoom bool) int {
-	if !keepRoom || s.Slots < minRoomSlots || s.Kind != fleet.Engine {
-		return s.Slots
-	}
-	room := max(1, int(math.Round(float64(s.Slots)*shortRoom)))
-	return s.Slots - room
-}
-
 // reportWeight is the trust in a report of the given age, 1 when fresh.
 func reportWeight(age time.Duration) float64 {
 	return math.Exp(-age.Seconds() / reportMemory.Seconds())
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -60,10 +60,12 @@
 	OwnPart, LongPart int
 	// LongSlots is the number of slots that long work may use.
 	LongSlots int
-	// Since counts this entry's requests begun since the load report arrived.
-	Since int
-	// BorrowPart is this entry's part of the reported free slots.
-	BorrowPart float64
+	// RoomFree says that this entry's short work is within what the room kept
+	// for short work is meant for.
+	RoomFree bool
+	// Borrow says that this entry may use more than its part of the slots,
+	// BorrowLong the same for long work.
+	Borrow, BorrowLong bool
 }
 
 // Running returns the estimated requests running on the server.
