--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -67,8 +67,8 @@
 		if srv.speed.known(now) {
 			gaps = append(gaps, srv.speed.gap.value)
 		}
-		if srv.speed.first.seen >= minSpeedSeen {
-			first = append(first, srv.speed.first.value)
+		if srv.speed.first.seen() >= minSpeedSeen {
+			first = append(first, srv.speed.first.value())
 		}
 	}
 	t.room = s.room.slots(now, t.slots, s.entries)
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -63,9 +63,9 @@
 	sp := &r.server.speed
 	fleet := r.sched.pace(r.work.Target)
 	if r.lastToken.IsZero() {
-		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
-		sp.first.observe(unit, speedWeight)
-		fleet.first.observe(unit, fleetWeight)
+		waited, units := now.Sub(r.granted).Seconds(), r.units()
+		sp.first.observe(waited, units, speedWeight)
+		fleet.first.observe(waited, units, fleetWeight)
 		sp.streams++
 	} else {
 		gap := now.Sub(r.lastToken).Seconds() / float64(n)
@@ -76,13 +76,15 @@
 	sp.lastToken = now
 }
 
+// units is the work up to the first token.
+func (r *Run) units() float64 { return firstUnits(r.work.PromptTokens, r.overlap) }
+
 // learnStall keeps what an unfinished request showed of a stalled server.
 func (r *Run) learnStall(now time.Time) {
 	sp := &r.server.speed
 	if r.lastToken.IsZero() {
-		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
-		if unit > sp.first.value {
-			sp.first.observe(unit, speedWeight)
+		if waited := now.Sub(r.granted).Seconds(); waited > sp.first.value()*r.units() {
+			sp.first.observe(waited, r.units(), speedWeight)
 		}
 		return
 	}
--- a/root/traffic/scheduling/speed.go
+++ b/root/traffic/scheduling/speed.go
@@ -23,7 +23,7 @@
 	// on the prompt, in output-token equivalents.
 	firstTokenBase = 4.0
 	// firstTokenDiscount divides a first-token ratio, which queueing disturbs.
-	firstTokenDiscount = 2.0
+	firstTokenDiscount = 5.0
 	// minProbe and maxProbe bound the time between probes of a slow server.
 	minProbe = 4 * time.Second
 	maxProbe = 32 * time.Second
@@ -47,7 +47,27 @@
 // pace is an observed speed in seconds: per unit of first-token work and per
 // output token.
 type pace struct {
-	first, gap average
+	first ratio
+	gap   average
+}
+
+// ratio is a moving average of a quantity per unit, weighted by the units.
+type ratio struct {
+	amount, units average
+}
+
+func (r *ratio) observe(amount, units, least float64) {
+	r.amount.observe(amount, least)
+	r.units.observe(units, least)
+}
+
+func (r *ratio) seen() int { return r.amount.seen }
+
+func (r *ratio) value() float64 {
+	if r.units.value == 0 {
+		return 0
+	}
+	return r.amount.value / r.units.value
 }
 
 // firstUnits is the work up to the first token, in output-token equivalents.
@@ -57,7 +77,7 @@
 
 // predict returns the time for a whole answer; 0 before any observation.
 func (p *pace) predict(promptTokens int, output float64) time.Duration {
-	seconds := p.first.value*firstUnits(promptTokens, 0) + p.gap.value*output
+	seconds := p.first.value()*firstUnits(promptTokens, 0) + p.gap.value*output
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -94,8 +114,8 @@
 	if s.known(now) && gapMedian > 0 {
 		worst = s.gapNow(now) / gapMedian
 	}
-	if s.first.seen >= minSpeedSeen && firstMedian > 0 {
-		worst = math.Max(worst, s.first.value/firstMedian/firstTokenDiscount)
+	if s.first.seen() >= minSpeedSeen && firstMedian > 0 {
+		worst = math.Max(worst, s.first.value()/firstMedian/firstTokenDiscount)
 	}
 	return worst
 }
@@ -138,10 +158,10 @@
 // hedgeAfter returns the wait for a first token past which a second attempt is
 // worthwhile; 0 before any observation.
 func (p *pace) hedgeAfter(promptTokens int) time.Duration {
-	if p.first.seen < minSpeedSeen {
+	if p.first.seen() < minSpeedSeen {
 		return 0
 	}
-	expected := p.first.value * firstUnits(promptTokens, 0)
+	expected := p.first.value() * firstUnits(promptTokens, 0)
 	wait := time.Duration(hedgeFactor * expected * float64(time.Second))
 	return min(max(minHedge, wait), maxHedge)
 }
