--- a/root/traffic/dispatch/lease.go
+++ b/root/traffic/dispatch/lease.go
@@ -30,6 +30,15 @@
 	l.d.state.Tokens(l.d.now(), l.grant.ID, n)
 }
 
+// Slow reports whether the server has become so slow that moving the rest of
+// the answer to another one by Retry is worthwhile. A forwarder asks now and
+// then while it streams.
+func (l *Lease) Slow() bool {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	return l.d.state.Slow(l.d.now(), l.grant.ID)
+}
+
 // Done ends the lease and serves the line. Later calls do nothing.
 func (l *Lease) Done(o Outcome) {
 	l.d.mu.Lock()
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -312,6 +312,13 @@
 	}
 }
 
+// Slow reports whether a granted request's server has become so slow that
+// moving the rest of the answer is worthwhile.
+func (s *State) Slow(now time.Time, id uint64) bool {
+	h := s.held[id]
+	return h != nil && h.run.Slow(now)
+}
+
 // Done ends a granted request. Later calls do nothing.
 func (s *State) Done(now time.Time, id uint64, outcome Outcome) {
 	h := s.held[id]
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -33,7 +33,9 @@
 	srv.begun++
 	srv.ownTokens += r.outstanding
 	srv.prefixes.add(w.Prefix)
+	s.begun++
 	if srv.speed.probeWait > 0 || srv.speed.probeDue(now) {
+		s.probes++
 		srv.speed.probed(now)
 	}
 	if w.Long {
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -26,9 +26,11 @@
 	picker         Picker
 	lengths        *Lengths
 	// paces holds the observed speed over all servers, by target.
-	paces   map[string]*pace
-	room    room
-	scratch candidates
+	paces map[string]*pace
+	room  room
+	// begun counts requests, probes those sent to find out about slow servers.
+	begun, probes int
+	scratch       candidates
 }
 
 // New returns a scheduler for one of the given number of entries. Equal seeds
@@ -111,9 +113,10 @@
 	if len(kept) == 0 {
 		return fleet.Server{}, false
 	}
-	if probe := slices.IndexFunc(kept, isSlow); probe >= 0 {
-		return *kept[probe].Server, true
+	if probe := s.probe(kept); probe != nil {
+		return *probe, true
 	}
+	kept = preferSure(w, slices.DeleteFunc(kept, isSlow))
 	scores := make([]float64, len(kept))
 	for i := range kept {
 		scores[i] = s.score(w, &kept[i])
@@ -123,8 +126,7 @@
 
 func (s *Scheduler) keep(now time.Time, w *Work) []Candidate {
 	all := s.candidates(now, w)
-	kept := slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
-	return preferSure(w, kept)
+	return slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
 }
 
 func (s *Scheduler) passes(w *Work, c *Candidate) bool {
