--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -81,11 +81,15 @@
 	Hint   uint64
 	// Round numbers heartbeat rounds; a reply echoes it for leases and reads.
 	Round uint64
+	// Transfer is set on a MsgVote that a MsgTimeoutNow caused: the leader gave
+	// up its lease, so voters answer although they heard from it.
+	Transfer bool
 }
 
 // Persist is one batch of writes. The caller reports Seq back by Persisted once
 // the whole batch is durable. A snapshot is written first, then the log is cut
-// after TruncateAfter when Truncate is set, then entries are appended.
+// after TruncateAfter when Truncate is set, then entries are appended. With a
+// Snapshot and Truncate together the log starts anew after the snapshot.
 type Persist struct {
 	Seq           uint64
 	HardState     *HardState
