--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -182,11 +182,18 @@
 // describe estimates the request's work and time.
 func (s *State) describe(now time.Time, class table.Class, r Request) (scheduling.Work, admission.Item) {
 	est := s.sched.Lengths().Estimate(r.Class, r.Caller, r.MaxOutputTokens)
-	cost := scheduling.Cost(r.PromptTokens, est.Mean)
+	prompt, output := r.PromptTokens, est.Mean
+	switch r.Stage {
+	case scheduling.PrefillOnly:
+		output = 1
+	case scheduling.DecodeOnly:
+		prompt = 0
+	}
+	cost := scheduling.Cost(prompt, output)
 	work := scheduling.Work{
 		Class: r.Class, Caller: r.Caller, Target: r.Target, Stage: r.Stage,
-		PromptTokens: r.PromptTokens,
-		Output:       est.Mean,
+		PromptTokens: prompt,
+		Output:       output,
 		Long:         s.sched.Lengths().IsLong(cost),
 		Prefix:       r.Prefix,
 		Exclude:      r.Exclude,
@@ -203,7 +210,7 @@
 	return work, admission.Item{
 		ID: s.nextID, Class: r.Class,
 		Cost:     cost,
-		Tokens:   r.PromptTokens + int(est.Mean),
+		Tokens:   prompt + int(output),
 		Arrived:  arrived,
 		Deadline: deadline,
 		Service:  s.reserve(&work, est, deadline.Sub(arrived)),
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -31,7 +30,7 @@
 	gapMedian, firstTime float64
 }
 
-// candidates describes every server that offers the work's target.
+// candidates describes every server that may take the work by target and role.
 func (s *Scheduler) candidates(now time.Time, w *Work) []Candidate {
 	offering := s.offering(w)
 	total := s.totals(now, offering)
@@ -45,16 +44,19 @@
 	return list
 }
 
+// offering returns the servers of the right role that offer the target.
 func (s *Scheduler) offering(w *Work) []*server {
 	out := make([]*server, 0, len(s.servers))
 	for _, srv := range s.servers {
-		if slices.Contains(srv.Targets, w.Target) {
+		c := Candidate{Server: &srv.Server}
+		if (TargetFilter{}).Keep(w, &c) && (RoleFilter{}).Keep(w, &c) {
 			out = append(out, srv)
 		}
 	}
 	return out
 }
 
+// totals sums what parts and medians are computed from.
 func (s *Scheduler) totals(now time.Time, offering []*server) fleetTotals {
 	var t fleetTotals
 	gaps, first := s.scratch.gaps[:0], s.scratch.first[:0]
@@ -98,6 +100,7 @@
 	t.longOverfull = t.running > float64(t.slots-t.room)+short+overfull*float64(t.slots)
 }
 
+// describe returns what is known of the i-th server.
 func (s *Scheduler) describe(now time.Time, w *Work, srv *server, i int, t *fleetTotals) Candidate {
 	c := Candidate{
 		Server:    &srv.Server,
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -139,6 +139,9 @@
 
 func (r *Run) learnLength(whole bool) {
 	lengths := r.sched.lengths
+	if r.work.Stage == PrefillOnly {
+		return
+	}
 	if !whole {
 		lengths.ObserveCut(r.work.Class, r.work.Caller, r.produced)
 		return
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -42,8 +42,7 @@
 		entries: max(1, entries),
 		byID:    map[string]*server{},
 		filters: []Filter{
-			TargetFilter{}, StateFilter{}, RoleFilter{}, ExcludedFilter{},
-			SlowFilter{}, SlotFilter{},
+			StateFilter{}, ExcludedFilter{}, SlowFilter{}, SlotFilter{},
 		},
 		scorers: []weighted{
 			{LoadScorer{}, 1}, {PrefixScorer{}, 1}, {SpeedScorer{}, 0.5},
