--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -45,7 +45,7 @@
 			StateFilter{}, ExcludedFilter{}, SlowFilter{}, SlotFilter{},
 		},
 		scorers: []weighted{
-			{LoadScorer{}, 1}, {PrefixScorer{}, 1}, {SpeedScorer{}, 0.5},
+			{LoadScorer{}, 1}, {PrefixScorer{}, 1},
 			{CacheScorer{}, 0.3}, {DomainScorer{}, 0.2},
 		},
 		picker:  TwoChoices{Rand: random},
--- /dev/null
+++ b/root/traffic/scheduling/scheduling_test.go
@@ -0,0 +1,179 @@
+package scheduling_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/scheduling"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func engine(i int) fleet.Server {
+	return fleet.Server{
+		ID: fmt.Sprintf("engine-%d", i), FailureDomain: fmt.Sprintf("fd-%d", i%2), Incarnation: 1,
+		Targets: []string{"small"}, Slots: 16, CacheTokens: 1 << 18,
+	}
+}
+
+func engines(n int) []fleet.Server {
+	out := make([]fleet.Server, n)
+	for i := range out {
+		out[i] = engine(i)
+	}
+	return out
+}
+
+func TestOnlyEligibleServersArePicked(t *testing.T) {
+	cases := map[string]func(s *fleet.Server, w *scheduling.Work){
+		"other target": func(s *fleet.Server, _ *scheduling.Work) { s.Targets = []string{"large"} },
+		"draining":     func(s *fleet.Server, _ *scheduling.Work) { s.State = fleet.Draining },
+		"suspected":    func(s *fleet.Server, _ *scheduling.Work) { s.State = fleet.Suspected },
+		"prefill role": func(s *fleet.Server, _ *scheduling.Work) { s.Role = fleet.Prefill },
+		"decode role": func(s *fleet.Server, w *scheduling.Work) {
+			s.Role = fleet.Decode
+			w.Stage = scheduling.PrefillOnly
+		},
+		"excluded": func(s *fleet.Server, w *scheduling.Work) { w.Exclude = []string{s.ID} },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers, w := engines(2), scheduling.Work{Target: "small", Output: 10}
+			spoil(&servers[0], &w)
+			s := scheduling.New(1, 1)
+			s.SetServers(servers)
+			for range 20 {
+				got, ok := s.Pick(epoch, &w)
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(got.ID, qt.Equals, "engine-1")
+			}
+		})
+	}
+}
+
+// Entries that fill their parts without any report never overfill a server.
+func TestPartsOfAllEntriesAddUpToTheSlots(t *testing.T) {
+	for _, entries := range []int{1, 3, 5, 8} {
+		c := qt.New(t)
+		taken := map[string]int{}
+		for rank := range entries {
+			s := scheduling.New(entries, 7)
+			s.SetServers(engines(6))
+			s.SetEntries(rank, entries)
+			w := scheduling.Work{Target: "small", Output: 10}
+			for {
+				server, ok := s.Pick(epoch, &w)
+				if !ok {
+					break
+				}
+				s.Begin(epoch, w, server.ID)
+				taken[server.ID]++
+			}
+		}
+		c.Assert(taken, qt.HasLen, 6)
+		for id, n := range taken {
+			c.Check(n, qt.Equals, 16, qt.Commentf("%s with %d entries", id, entries))
+		}
+	}
+}
+
+// serve runs one request of ten tokens and returns its server.
+func serve(s *scheduling.Scheduler, now time.Time, gap func(id string) time.Duration) string {
+	w := scheduling.Work{Class: "question", Target: "small", PromptTokens: 100, Output: 10}
+	server, ok := s.Pick(now, &w)
+	if !ok {
+		return ""
+	}
+	run := s.Begin(now, w, server.ID)
+	for i := range 10 {
+		run.Tokens(now.Add(time.Duration(i+1)*gap(server.ID)), 1)
+	}
+	run.End(now.Add(10*gap(server.ID)), true)
+	return server.ID
+}
+
+func TestASlowedServerIsFoundProbedAndTakenBack(t *testing.T) {
+	c := qt.New(t)
+	s := scheduling.New(1, 1)
+	s.SetServers(engines(4))
+	slow := 1
+	gap := func(id string) time.Duration {
+		if id == "engine-0" {
+			return time.Duration(slow) * 20 * time.Millisecond
+		}
+		return 20 * time.Millisecond
+	}
+	served := func(from time.Time, n int) int {
+		hits := 0
+		for i := range n {
+			if serve(s, from.Add(time.Duration(i)*time.Second), gap) == "engine-0" {
+				hits++
+			}
+		}
+		return hits
+	}
+	healthy := served(epoch, 400)
+	c.Assert(healthy > 50, qt.IsTrue, qt.Commentf("%d of 400", healthy))
+	slow = 5
+	slowed := served(epoch.Add(time.Hour), 400)
+	c.Assert(slowed >= 1 && slowed <= 6, qt.IsTrue, qt.Commentf("%d of 400", slowed))
+	slow = 1
+	served(epoch.Add(2*time.Hour), 800)
+	back := served(epoch.Add(3*time.Hour), 400)
+	c.Assert(back > 50, qt.IsTrue, qt.Commentf("%d of 400", back))
+}
+
+func TestAPromptGoesBackToTheServerThatHoldsIt(t *testing.T) {
+	c := qt.New(t)
+	s := scheduling.New(1, 1)
+	s.SetServers(engines(8))
+	w := scheduling.Work{Target: "small", PromptTokens: 8000, Output: 20, Prefix: []uint64{1, 2, 3, 4}}
+	first, _ := s.Pick(epoch, &w)
+	s.Begin(epoch, w, first.ID).End(epoch, true)
+	for range 20 {
+		again, ok := s.Pick(epoch, &w)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(again.ID, qt.Equals, first.ID)
+	}
+}
+
+func TestLengthsFollowTheCaller(t *testing.T) {
+	c := qt.New(t)
+	l := scheduling.NewLengths()
+	for range 50 {
+		l.Observe("question", "stall", 40)
+		l.Observe("question", "archive", 400)
+	}
+	c.Check(l.Estimate("question", "stall", 0).Mean, qt.Equals, 40.0)
+	c.Check(l.Estimate("question", "archive", 0).Mean, qt.Equals, 400.0)
+	c.Check(l.Estimate("question", "archive", 100).High, qt.Equals, 100.0)
+	other := l.Estimate("question", "new", 0).Mean
+	c.Check(other > 40 && other < 400, qt.IsTrue)
+}
+
+func ExampleScheduler() {
+	s := scheduling.New(1, 1)
+	s.SetServers([]fleet.Server{
+		{ID: "engine-0", Targets: []string{"small"}, Slots: 1},
+		{ID: "engine-1", Targets: []string{"small"}, Slots: 1, State: fleet.Draining},
+	})
+	now := time.Unix(0, 0)
+	work := scheduling.Work{Target: "small", PromptTokens: 100, Output: 50}
+	server, ok := s.Pick(now, &work)
+	fmt.Println(server.ID, ok)
+	run := s.Begin(now, work, server.ID)
+	_, ok = s.Pick(now, &work)
+	fmt.Println(ok)
+	run.End(now, true)
+	_, ok = s.Pick(now, &work)
+	fmt.Println(ok)
+	// Output:
+	// engine-0 true
+	// false
+	// true
+}
