--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -19,7 +19,7 @@
 	// retryBurst bounds the retries that can be saved up.
 	retryBurst = 10
 	// reservePart is the largest part of a request's time kept for running it.
-	reservePart = 0.85
+	reservePart = 0.8
 	// noBackendRetry is the suggested wait when no server can take the work.
 	noBackendRetry = time.Second
 	// notReadyRetry is the suggested wait while the view lease is out.
--- a/root/traffic/scheduling/room.go
+++ b/root/traffic/scheduling/room.go
@@ -14,7 +14,7 @@
 	roomMemory = 10 * time.Second
 	// roomDeviations is the room above the average number of short requests, in
 	// standard deviations of a Poisson count.
-	roomDeviations = 2.5
+	roomDeviations = 6
 	// minRoom and maxRoom bound the room as shares of an engine's slots.
 	minRoom = 0.02
 	maxRoom = 0.125
--- a/root/traffic/scheduling/speed.go
+++ b/root/traffic/scheduling/speed.go
@@ -149,9 +149,9 @@
 const (
 	// hedgeFactor multiplies the expected first-token time before a second
 	// attempt is worthwhile.
-	hedgeFactor = 4.0
+	hedgeFactor = 3.0
 	// minHedge and maxHedge bound that wait.
-	minHedge = 100 * time.Millisecond
+	minHedge = 60 * time.Millisecond
 	maxHedge = 10 * time.Second
 )
 
