--- a/root/traffic/dispatch/dispatcher_test.go
+++ b/root/traffic/dispatch/dispatcher_test.go
@@ -120,3 +120,104 @@
 		c.Check(acquire(ask), qt.Equals, fault.NotReady)
 	})
 }
+
+func TestAServerThatDrainsGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := published(2, shortClass())
+		d := dispatch.New(dispatch.Options{Views: store, Entries: 1})
+		ask := dispatch.Request{Class: "question", Target: "small"}
+		var leases []*dispatch.Lease
+		for range 4 {
+			l, err := d.Acquire(t.Context(), ask)
+			c.Assert(err, qt.IsNil)
+			leases = append(leases, l)
+		}
+		waited := make(chan *dispatch.Lease)
+		go func() {
+			l, _ := d.Acquire(t.Context(), ask)
+			waited <- l
+		}()
+		synctest.Wait()
+		next := *store.Load()
+		next.Servers = append([]fleet.Server(nil), next.Servers...)
+		next.Servers[0].State = fleet.Draining
+		store.Publish(&next)
+		d.ViewChanged()
+		for _, l := range leases {
+			if l.Server().ID == "engine-0" {
+				l.Done(dispatch.Succeeded)
+			}
+		}
+		synctest.Wait()
+		c.Assert(waited, qt.HasLen, 0)
+		for _, l := range leases {
+			l.Done(dispatch.Succeeded)
+		}
+		c.Check((<-waited).Server().ID, qt.Equals, "engine-1")
+	})
+}
+
+func TestRetryAvoidsTheServerWithinItsBudget(t *testing.T) {
+	c := qt.New(t)
+	once := shortClass()
+	once.Name, once.Idempotent = "order", false
+	d := dispatch.New(dispatch.Options{Views: published(40, shortClass(), once), Entries: 1})
+	order := dispatch.Request{Class: "order", Target: "small"}
+	l, err := d.Acquire(t.Context(), order)
+	c.Assert(err, qt.IsNil)
+	_, err = d.Retry(t.Context(), l, order)
+	c.Check(fault.KindOf(err), qt.Equals, fault.OutcomeUnknown)
+	ask := dispatch.Request{Class: "question", Target: "small"}
+	first, err := d.Acquire(t.Context(), ask)
+	c.Assert(err, qt.IsNil)
+	retries := 0
+	for range 30 {
+		again, err := d.Retry(t.Context(), first, ask)
+		if err != nil {
+			c.Check(fault.From(err).Ran, qt.Equals, fault.RanUnknown)
+			break
+		}
+		c.Check(again.Server().ID, qt.Not(qt.Equals), first.Server().ID)
+		retries++
+	}
+	c.Check(retries, qt.Equals, 10)
+}
+
+func TestSharesSetTheEntrysPartOfALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		class := shortClass()
+		class.Concurrency, class.Deadline = 16, time.Second
+		d := dispatch.New(dispatch.Options{Views: published(20, class), Entries: 8})
+		running := func() int {
+			for range 20 {
+				go d.Acquire(t.Context(), dispatch.Request{Class: "question", Target: "small"})
+			}
+			time.Sleep(5 * time.Second)
+			return d.Demand()[0].Running
+		}
+		c.Check(running(), qt.Equals, 2)
+		d.SetShares(map[string]float64{"question": 0.25})
+		c.Check(running(), qt.Equals, 4)
+		d.SetShares(map[string]float64{"question": 0})
+		c.Check(running(), qt.Equals, 4)
+	})
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, servers := range []int{18, 64} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			d := dispatch.New(dispatch.Options{Views: published(servers, shortClass()), Entries: 1})
+			b.ReportAllocs()
+			for b.Loop() {
+				l, err := d.Acquire(b.Context(), dispatch.Request{Class: "question", Target: "small"})
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.Tokens(1)
+				l.Done(dispatch.Succeeded)
+			}
+		})
+	}
+}
