--- a/root/traffic/admission/core.go
+++ b/root/traffic/admission/core.go
@@ -97,6 +97,7 @@
 	}
 	q.demand.add(now, 1)
 	c.measure(now, q)
+	it.trial = q.running == 0 && len(q.waiting) == 0
 	if r, ok := c.check(now, q, it); !ok {
 		return r, false
 	}
@@ -207,7 +208,7 @@
 			if it.Deadline.IsZero() {
 				continue
 			}
-			last := it.Deadline.Add(-it.Service)
+			last := it.latest()
 			if next.IsZero() || last.Before(next) {
 				next = last
 			}
--- a/root/traffic/admission/item.go
+++ b/root/traffic/admission/item.go
@@ -18,6 +18,9 @@
 	Deadline time.Time
 	// Service is the predicted time from grant to the whole answer.
 	Service time.Duration
+	// trial says that the prediction is not held against the item, because its
+	// class runs nothing that could correct it.
+	trial bool
 }
 
 // late reports whether the item, granted after wait, would pass its deadline.
@@ -25,7 +28,15 @@
 	if it.Deadline.IsZero() {
 		return false
 	}
-	return now.Add(wait + it.Service).After(it.Deadline)
+	return now.Add(wait).After(it.latest())
+}
+
+// latest returns the last time at which a grant can still meet the deadline.
+func (it *Item) latest() time.Time {
+	if it.trial {
+		return it.Deadline
+	}
+	return it.Deadline.Add(-it.Service)
 }
 
 // Reason says why an item was refused.
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -18,10 +18,9 @@
 type fleetTotals struct {
 	slots, room int
 	// longHere is the slots for long work of the server being described.
-	longHere     int
-	own, ownLong int
-	peers        float64
-	reported     int
+	longHere int
+	peers    float64
+	reported int
 	// running is what the servers reported, since what this entry began after.
 	running              float64
 	since                int
@@ -44,12 +43,12 @@
 	return list
 }
 
-// offering returns the servers of the right role that offer the target.
+// offering returns the active servers of the right role that offer the target.
 func (s *Scheduler) offering(w *Work) []*server {
 	out := make([]*server, 0, len(s.servers))
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if (TargetFilter{}).Keep(w, &c) && (RoleFilter{}).Keep(w, &c) {
+		if s.offers(w, &c) {
 			out = append(out, srv)
 		}
 	}
@@ -92,12 +91,22 @@
 		t.running += float64(srv.Load.Running + srv.Load.Waiting)
 		t.since += srv.begun - srv.begunAtReport
 	}
-	part := borrowExcess / float64(s.entries)
 	free := float64(slots)*(1-borrowMargin) - t.running
-	t.borrow = float64(t.since+1) <= free*part
-	t.borrowLong = float64(t.since+1) <= (free-float64(t.room))*part
+	t.borrow = s.mayBorrow(t.since, free, slots)
+	t.borrowLong = s.mayBorrow(t.since, free-float64(t.room), slots)
 	short := s.room.average * float64(s.entries)
-	t.longOverfull = t.running > float64(t.slots-t.room)+short+overfull*float64(t.slots)
+	t.longOverfull = t.running > float64(t.slots-t.room)+short
+}
+
+// mayBorrow reports whether one more request fits this entry's part of the
+// reported free slots. In a small pool, where parts come to less than one, each
+// entry may use one free slot per report.
+func (s *Scheduler) mayBorrow(since int, free float64, slots int) bool {
+	part := free * borrowExcess / float64(s.entries)
+	if slots < smallPool*s.entries && free >= 1 {
+		part = math.Max(part, 1)
+	}
+	return float64(since+1) <= part
 }
 
 // describe returns what is known of the i-th server.
@@ -115,6 +124,9 @@
 	c.Queued = float64(srv.Load.Waiting) * reportWeight(c.ReportAge)
 	c.OwnPart = s.part(srv.Slots, i)
 	c.LongPart = s.part(c.LongSlots, i)
+	if !fresh(&c) {
+		c.OwnPart, c.LongPart = max(1, c.OwnPart), max(1, c.LongPart)
+	}
 	if t.longOverfull {
 		c.LongPart = 0
 	}
--- a/root/traffic/scheduling/filter_slots.go
+++ b/root/traffic/scheduling/filter_slots.go
@@ -11,16 +11,16 @@
 	// borrowMargin is the share of the slots left free when an entry uses more
 	// than its own part.
 	borrowMargin = 0.05
-	// overfull is the share of the slots by which reports may show more running
-	// than long work leaves room for before long work waits.
-	overfull = 0.0
 	// borrowExcess multiplies an entry's even part of the reported room, since
 	// seldom do all entries need their parts at once.
 	borrowExcess = 2.0
+	// smallPool is the number of slots for each entry below which an entry's
+	// part of the free slots may come to less than one.
+	smallPool = 4
 )
 
 // SlotFilter keeps servers with a free slot. An entry may always use its own
-// part of a server's slots. It borrows more while a fresh report shows room:
+// part of a server's slots, which is one at least without a fresh report. It borrows more while a fresh report shows room:
 // no more of that room per report than its part, so that entries that read the
 // same report do not overfill the server together. A little short work may use
 // all of the reported room, which is kept for it.
--- a/root/traffic/scheduling/probe.go
+++ b/root/traffic/scheduling/probe.go
@@ -19,7 +19,7 @@
 // probe returns the slow server to be measured by this request, if any. Without
 // another server that has room the request loses little by the probe.
 func (s *Scheduler) probe(kept []Candidate) *fleet.Server {
-	slow := slices.IndexFunc(kept, isSlow)
+	slow := slices.IndexFunc(kept, func(c Candidate) bool { return isSlow(c) && c.Probe })
 	if slow < 0 {
 		return nil
 	}
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -21,10 +21,12 @@
 	index, entries int
 	servers        []*server
 	byID           map[string]*server
-	filters        []Filter
-	scorers        []weighted
-	picker         Picker
-	lengths        *Lengths
+	// offered say which servers the parts of slots are computed over, filters
+	// which of them may take a request now.
+	offered, filters []Filter
+	scorers          []weighted
+	picker           Picker
+	lengths          *Lengths
 	// paces holds the observed speed over all servers, by target.
 	paces map[string]*pace
 	room  room
@@ -41,9 +43,8 @@
 		index:   int(seed % uint64(max(1, entries))),
 		entries: max(1, entries),
 		byID:    map[string]*server{},
-		filters: []Filter{
-			StateFilter{}, ExcludedFilter{}, SlowFilter{}, SlotFilter{},
-		},
+		offered: []Filter{TargetFilter{}, StateFilter{}, RoleFilter{}},
+		filters: []Filter{ExcludedFilter{}, SlowFilter{}, SlotFilter{}},
 		scorers: []weighted{
 			{LoadScorer{}, 1}, {PrefixScorer{}, 1},
 			{CacheScorer{}, 0.3}, {DomainScorer{}, 0.2},
@@ -94,11 +95,8 @@
 func (s *Scheduler) Offers(w *Work) (known, active bool) {
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if !(TargetFilter{}).Keep(w, &c) {
-			continue
-		}
-		known = true
-		if (StateFilter{}).Keep(w, &c) && (RoleFilter{}).Keep(w, &c) && (ExcludedFilter{}).Keep(w, &c) {
+		known = known || (TargetFilter{}).Keep(w, &c)
+		if s.offers(w, &c) && (ExcludedFilter{}).Keep(w, &c) {
 			return true, true
 		}
 	}
@@ -115,7 +113,10 @@
 	if probe := s.probe(kept); probe != nil {
 		return *probe, true
 	}
-	kept = preferSure(w, slices.DeleteFunc(kept, isSlow))
+	if slices.ContainsFunc(kept, func(c Candidate) bool { return !isSlow(c) }) {
+		kept = slices.DeleteFunc(kept, isSlow)
+	}
+	kept = preferSure(w, kept)
 	scores := make([]float64, len(kept))
 	for i := range kept {
 		scores[i] = s.score(w, &kept[i])
@@ -123,13 +124,23 @@
 	return *kept[s.picker.Pick(kept, scores)].Server, true
 }
 
+// keep returns the candidates that pass every filter.
 func (s *Scheduler) keep(now time.Time, w *Work) []Candidate {
 	all := s.candidates(now, w)
-	return slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
+	fast := slices.ContainsFunc(all, func(c Candidate) bool {
+		return !isSlow(c) && (ExcludedFilter{}).Keep(w, &c)
+	})
+	return slices.DeleteFunc(all, func(c Candidate) bool {
+		c.OnlySlow = !fast
+		return !passes(s.filters, w, &c)
+	})
 }
 
-func (s *Scheduler) passes(w *Work, c *Candidate) bool {
-	for _, f := range s.filters {
+// offers reports whether the server may take such work, room aside.
+func (s *Scheduler) offers(w *Work, c *Candidate) bool { return passes(s.offered, w, c) }
+
+func passes(filters []Filter, w *Work, c *Candidate) bool {
+	for _, f := range filters {
 		if !f.Keep(w, c) {
 			return false
 		}
@@ -137,6 +148,7 @@
 	return true
 }
 
+// score adds up the weighted scores of a candidate; lower is better.
 func (s *Scheduler) score(w *Work, c *Candidate) float64 {
 	sum := 0.0
 	for _, scorer := range s.scorers {
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -51,6 +51,8 @@
 	Slowness float64
 	// Probe says that a slow server may be given one request to measure it.
 	Probe bool
+	// OnlySlow says that every server that may take the work is slow.
+	OnlySlow bool
 	// Overlap is the share of the prompt that the server's cache likely holds.
 	Overlap float64
 	// DomainLoad is the used share of the server's failure domain's slots.
