--- a/root/traffic/admission/core_test.go
+++ b/root/traffic/admission/core_test.go
@@ -264,3 +264,19 @@
 	// false
 	// 1 true
 }
+
+func TestAWrongPredictionIsTriedNowAndThen(t *testing.T) {
+	c := qt.New(t)
+	core := admission.NewCore()
+	core.SetClasses([]table.Class{{Name: "a", Weight: 1, Queue: 10}}, even(1))
+	item := func(id uint64) admission.Item {
+		return admission.Item{ID: id, Class: "a", Cost: 1, Arrived: epoch, Deadline: epoch.Add(time.Second), Service: time.Minute}
+	}
+	_, ok := core.Arrive(epoch, item(1))
+	c.Assert(ok, qt.IsTrue)
+	refusal, ok := core.Arrive(epoch, item(2))
+	c.Assert(ok, qt.IsFalse)
+	c.Check(refusal.Reason, qt.Equals, admission.Expired)
+	c.Check(core.Expire(epoch), qt.HasLen, 0)
+	c.Check(core.Expire(epoch.Add(2*time.Second)), qt.HasLen, 1)
+}
--- a/root/traffic/scheduling/scheduling_test.go
+++ b/root/traffic/scheduling/scheduling_test.go
@@ -177,3 +177,46 @@
 	// false
 	// true
 }
+
+// With fewer slots than entries every entry still finds a place, with and
+// without load reports.
+func TestSmallPoolsServeEveryEntry(t *testing.T) {
+	c := qt.New(t)
+	servers := engines(3)
+	for _, reported := range []bool{false, true} {
+		for rank := range 8 {
+			s := scheduling.New(8, 1)
+			s.SetEntries(rank, 8)
+			for i := range servers {
+				servers[i].Kind, servers[i].Slots = fleet.Service, 2
+				if reported {
+					servers[i].Load = fleet.Load{Running: 1, ReportedAt: epoch}
+				}
+			}
+			s.SetServers(servers)
+			_, ok := s.Pick(epoch.Add(time.Second), &scheduling.Work{Target: "small", Output: 10})
+			c.Check(ok, qt.IsTrue, qt.Commentf("rank %d, reported %v", rank, reported))
+		}
+	}
+}
+
+func TestOnlySlowServersStillServe(t *testing.T) {
+	c := qt.New(t)
+	s := scheduling.New(1, 1)
+	s.SetServers(engines(2))
+	gap := func(id string) time.Duration {
+		if id == "engine-0" {
+			return 200 * time.Millisecond
+		}
+		return 20 * time.Millisecond
+	}
+	now := epoch
+	for range 100 {
+		serve(s, now, gap)
+		now = now.Add(time.Second)
+	}
+	w := scheduling.Work{Target: "small", Output: 1000, Long: true, Exclude: []string{"engine-1"}}
+	got, ok := s.Pick(now, &w)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(got.ID, qt.Equals, "engine-0")
+}
