--- a/root/control/consensus/log.go
+++ b/root/control/consensus/log.go
@@ -40,12 +40,15 @@
 	return l.entries[from:to:to]
 }
 
+// entryOverheadBytes is added to the data of an entry when sizes are bounded.
+const entryOverheadBytes = 32
+
 // batch returns the entries from first on, at least one and otherwise at most maxBytes.
 func (l *entryLog) batch(first uint64, maxBytes int) ([]Entry, int) {
 	size := 0
 	last := first
 	for ; last <= l.last(); last++ {
-		next := len(l.entries[last-l.base-1].Data)
+		next := len(l.entries[last-l.base-1].Data) + entryOverheadBytes
 		if last > first && size+next > maxBytes {
 			break
 		}
@@ -68,7 +71,7 @@
 	l.written = index
 }
 
-// compact drops the entries up to index from memory.
+// compact drops the entries up to index, which were handed to the disk, from memory.
 func (l *entryLog) compact(index uint64) {
 	at, ok := l.term(index)
 	if !ok || index <= l.base {
--- a/root/traffic/scheduling/candidates.go
+++ b/root/traffic/scheduling/candidates.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -17,45 +16,51 @@
 
 // fleetTotals sums what an entry's parts are computed from.
 type fleetTotals struct {
-	slots, longSlots     int
-	own, ownLong         int
-	peers                float64
-	reported             int
+	slots, room int
+	// longHere is the slots for long work of the server being described.
+	longHere int
+	peers    float64
+	reported int
+	// running is what the servers reported, since what this entry began after.
+	running              float64
+	since                int
+	borrow, borrowLong   bool
+	longOverfull         bool
 	gapMedian, firstTime float64
 }
 
-// candidates describes every server that offers the work's target.
+// candidates describes every server that may take the work by target and role.
 func (s *Scheduler) candidates(now time.Time, w *Work) []Candidate {
-	keepRoom := now.Sub(s.lastShort) < shortMemory && !s.lastShort.IsZero()
 	offering := s.offering(w)
-	total := s.totals(now, offering, keepRoom)
+	total := s.totals(now, offering)
 	list := s.scratch.list[:0]
-	for _, srv := range offering {
-		list = append(list, s.describe(now, w, srv, &total, keepRoom))
+	for i, srv := range offering {
+		total.longHere = srv.longSlots(total.room, i, len(offering))
+		list = append(list, s.describe(now, w, srv, i, &total))
 	}
 	s.scratch.list = list
 	s.fillDomains(list)
 	return list
 }
 
+// offering returns the active servers of the right role that offer the target.
 func (s *Scheduler) offering(w *Work) []*server {
 	out := make([]*server, 0, len(s.servers))
 	for _, srv := range s.servers {
-		if slices.Contains(srv.Targets, w.Target) {
+		c := Candidate{Server: &srv.Server}
+		if s.offers(w, &c) {
 			out = append(out, srv)
 		}
 	}
 	return out
 }
 
-func (s *Scheduler) totals(now time.Time, offering []*server, keepRoom bool) fleetTotals {
+// totals sums what parts and medians are computed from.
+func (s *Scheduler) totals(now time.Time, offering []*server) fleetTotals {
 	var t fleetTotals
 	gaps, first := s.scratch.gaps[:0], s.scratch.first[:0]
 	for _, srv := range offering {
 		t.slots += srv.Slots
-		t.longSlots += srv.longSlots(keepRoom)
-		t.own += srv.own
-		t.ownLong += srv.ownLong
 		if srv.reported() {
 			t.peers += srv.reportedPeers()
 			t.reported++
@@ -63,16 +68,49 @@
 		if srv.speed.known(now) {
 			gaps = append(gaps, srv.speed.gap.value)
 		}
-		if srv.speed.first.seen >= minSpeedSeen {
-			first = append(first, srv.speed.first.value)
+		if srv.speed.first.seen() >= minSpeedSeen {
+			first = append(first, srv.speed.first.value())
 		}
 	}
+	t.room = s.room.slots(now, t.slots, s.entries)
+	s.allowances(now, offering, &t)
 	t.gapMedian, t.firstTime = lowMedian(gaps), lowMedian(first)
 	s.scratch.gaps, s.scratch.first = gaps, first
 	return t
 }
 
-func (s *Scheduler) describe(now time.Time, w *Work, srv *server, t *fleetTotals, keepRoom bool) Candidate {
+// allowances decides whether the entry may borrow slots beyond its part, and
+// whether long work fills more than its slots already.
+func (s *Scheduler) allowances(now time.Time, offering []*server, t *fleetTotals) {
+	slots := 0
+	for _, srv := range offering {
+		if !srv.reported() || srv.reportAge(now) > staleReport {
+			continue
+		}
+		slots += srv.Slots
+		t.running += float64(srv.Load.Running + srv.Load.Waiting)
+		t.since += srv.begun - srv.begunAtReport
+	}
+	free := float64(slots)*(1-borrowMargin) - t.running
+	t.borrow = s.mayBorrow(t.since, free, slots)
+	t.borrowLong = s.mayBorrow(t.since, free-float64(t.room), slots)
+	short := s.room.average * float64(s.entries)
+	t.longOverfull = t.running > float64(t.slots-t.room)+short
+}
+
+// mayBorrow reports whether one more request fits this entry's part of the
+// reported free slots. In a small pool, where parts come to less than one, each
+// entry may use one free slot per report.
+func (s *Scheduler) mayBorrow(since int, free float64, slots int) bool {
+	part := free * borrowExcess / float64(s.entries)
+	if slots < smallPool*s.entries && free >= 1 {
+		part = math.Max(part, 1)
+	}
+	return float64(since+1) <= part
+}
+
+// describe returns what is known of the i-th server.
+func (s *Scheduler) describe(now time.Time, w *Work, srv *server, i int, t *fleetTotals) Candidate {
 	c := Candidate{
 		Server:    &srv.Server,
 		Own:       srv.own,
@@ -80,14 +118,20 @@
 		Reported:  srv.reported(),
 		ReportAge: srv.reportAge(now),
 		Overlap:   srv.prefixes.overlap(w.Prefix),
-		LongSlots: srv.longSlots(keepRoom),
+		LongSlots: t.longHere,
 	}
 	c.Peers = s.peers(srv, &c, t)
 	c.Queued = float64(srv.Load.Waiting) * reportWeight(c.ReportAge)
-	c.OwnPart = s.part(srv.Slots, t.own, t.slots)
-	c.LongPart = s.part(c.LongSlots, t.ownLong, t.longSlots)
-	c.Since = srv.begun - srv.begunAtReport
-	c.BorrowPart = borrowExcess / float64(s.entries)
+	c.OwnPart = s.part(srv.Slots, i)
+	c.LongPart = s.part(c.LongSlots, i)
+	if !fresh(&c) {
+		c.OwnPart, c.LongPart = max(1, c.OwnPart), max(1, c.LongPart)
+	}
+	if t.longOverfull {
+		c.LongPart = 0
+	}
+	c.RoomFree = s.room.running < roomExcess*divideUp(t.room, s.entries)
+	c.Borrow, c.BorrowLong = t.borrow, t.borrowLong
 	c.Slowness = srv.speed.slowness(now, t.gapMedian, t.firstTime)
 	c.Probe = srv.speed.probeDue(now)
 	if c.Slowness < slowThreshold {
@@ -96,13 +140,15 @@
 	return c
 }
 
-// part returns the entry's part of one server's slots, rounded up; 0 once the
-// entry has used its part of all servers together.
-func (s *Scheduler) part(slots, ownTotal, slotsTotal int) int {
-	if ownTotal >= divideUp(slotsTotal, s.entries) {
-		return 0
+// part returns this entry's part of the slots of the i-th server. The parts of
+// all entries add up to the slots; what does not divide evenly rotates.
+func (s *Scheduler) part(slots, i int) int {
+	n := s.entries
+	whole, rest := slots/n, slots%n
+	if (s.index+i*rest)%n < rest {
+		return whole + 1
 	}
-	return divideUp(slots, s.entries)
+	return whole
 }
 
 func divideUp(a, b int) int { return (a + b - 1) / b }
--- a/root/traffic/scheduling/run.go
+++ b/root/traffic/scheduling/run.go
@@ -33,13 +33,15 @@
 	srv.begun++
 	srv.ownTokens += r.outstanding
 	srv.prefixes.add(w.Prefix)
+	s.begun++
 	if srv.speed.probeWait > 0 || srv.speed.probeDue(now) {
+		s.probes++
 		srv.speed.probed(now)
 	}
 	if w.Long {
 		srv.ownLong++
 	} else {
-		s.lastShort = now
+		s.room.change(now, 1)
 	}
 	return r
 }
@@ -52,9 +54,10 @@
 	r.learn(now, n)
 	r.produced += n
 	r.progress(float64(n))
-	if !r.work.Long && r.produced > longOutput {
+	if !r.work.Long && r.sched.lengths.IsLong(float64(r.produced)) {
 		r.work.Long = true
 		r.server.ownLong++
+		r.sched.room.change(now, -1)
 	}
 }
 
@@ -62,9 +65,9 @@
 	sp := &r.server.speed
 	fleet := r.sched.pace(r.work.Target)
 	if r.lastToken.IsZero() {
-		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
-		sp.first.observe(unit, speedWeight)
-		fleet.first.observe(unit, fleetWeight)
+		waited, units := now.Sub(r.granted).Seconds(), r.units()
+		sp.first.observe(waited, units, speedWeight)
+		fleet.first.observe(waited, units, fleetWeight)
 		sp.streams++
 	} else {
 		gap := now.Sub(r.lastToken).Seconds() / float64(n)
@@ -75,13 +78,15 @@
 	sp.lastToken = now
 }
 
+// units is the work up to the first token.
+func (r *Run) units() float64 { return firstUnits(r.work.PromptTokens, r.overlap) }
+
 // learnStall keeps what an unfinished request showed of a stalled server.
 func (r *Run) learnStall(now time.Time) {
 	sp := &r.server.speed
 	if r.lastToken.IsZero() {
-		unit := now.Sub(r.granted).Seconds() / firstUnits(r.work.PromptTokens, r.overlap)
-		if unit > sp.first.value {
-			sp.first.observe(unit, speedWeight)
+		if waited := now.Sub(r.granted).Seconds(); waited > sp.first.value()*r.units() {
+			sp.first.observe(waited, r.units(), speedWeight)
 		}
 		return
 	}
@@ -123,6 +128,8 @@
 	srv.ownTokens -= r.outstanding
 	if r.work.Long {
 		srv.ownLong--
+	} else {
+		r.sched.room.change(now, -1)
 	}
 	if !r.lastToken.IsZero() {
 		srv.speed.streams--
@@ -132,12 +139,16 @@
 
 func (r *Run) learnLength(whole bool) {
 	lengths := r.sched.lengths
+	if r.work.Stage == PrefillOnly {
+		return
+	}
 	if !whole {
 		lengths.ObserveCut(r.work.Class, r.work.Caller, r.produced)
 		return
 	}
 	if r.produced > 0 {
 		lengths.Observe(r.work.Class, r.work.Caller, r.produced)
+		lengths.sizes.observe(r.Cost())
 	}
 }
 
--- a/root/traffic/scheduling/scheduler.go
+++ b/root/traffic/scheduling/scheduler.go
@@ -9,9 +9,6 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
-// shortMemory is how long room is kept for short work after the last of it.
-const shortMemory = 30 * time.Second
-
 // weighted is a scorer with its weight in the sum.
 type weighted struct {
 	Scorer
@@ -20,17 +17,22 @@
 
 // Scheduler chooses servers for one entry. Callers serialise access.
 type Scheduler struct {
-	entries int
-	servers []*server
-	byID    map[string]*server
-	filters []Filter
-	scorers []weighted
-	picker  Picker
-	lengths *Lengths
+	// index is this entry's rank among the entries.
+	index, entries int
+	servers        []*server
+	byID           map[string]*server
+	// offered say which servers the parts of slots are computed over, filters
+	// which of them may take a request now.
+	offered, filters []Filter
+	scorers          []weighted
+	picker           Picker
+	lengths          *Lengths
 	// paces holds the observed speed over all servers, by target.
-	paces     map[string]*pace
-	lastShort time.Time
-	scratch   candidates
+	paces map[string]*pace
+	room  room
+	// begun counts requests, probes those sent to find out about slow servers.
+	begun, probes int
+	scratch       candidates
 }
 
 // New returns a scheduler for one of the given number of entries. Equal seeds
@@ -38,14 +40,13 @@
 func New(entries int, seed uint64) *Scheduler {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 	return &Scheduler{
+		index:   int(seed % uint64(max(1, entries))),
 		entries: max(1, entries),
 		byID:    map[string]*server{},
-		filters: []Filter{
-			TargetFilter{}, StateFilter{}, RoleFilter{}, ExcludedFilter{},
-			SlowFilter{}, SlotFilter{},
-		},
+		offered: []Filter{TargetFilter{}, StateFilter{}, RoleFilter{}},
+		filters: []Filter{ExcludedFilter{}, SlowFilter{}, SlotFilter{}},
 		scorers: []weighted{
-			{LoadScorer{}, 1}, {PrefixScorer{}, 1}, {SpeedScorer{}, 0.5},
+			{LoadScorer{}, 1}, {PrefixScorer{}, 1},
 			{CacheScorer{}, 0.3}, {DomainScorer{}, 0.2},
 		},
 		picker:  TwoChoices{Rand: random},
@@ -54,6 +55,13 @@
 	}
 }
 
+// SetEntries sets this entry's rank among the entries, from 0, and their
+// number. Entries with different ranks have parts of each server's slots that
+// add up to the whole.
+func (s *Scheduler) SetEntries(index, entries int) {
+	s.index, s.entries = index, max(1, entries)
+}
+
 // SetServers takes over the announced servers and their load reports.
 func (s *Scheduler) SetServers(announced []fleet.Server) {
 	seen := make(map[string]bool, len(announced))
@@ -87,11 +95,8 @@
 func (s *Scheduler) Offers(w *Work) (known, active bool) {
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if !(TargetFilter{}).Keep(w, &c) {
-			continue
-		}
-		known = true
-		if (StateFilter{}).Keep(w, &c) && (RoleFilter{}).Keep(w, &c) && (ExcludedFilter{}).Keep(w, &c) {
+		known = known || (TargetFilter{}).Keep(w, &c)
+		if s.offers(w, &c) && (ExcludedFilter{}).Keep(w, &c) {
 			return true, true
 		}
 	}
@@ -105,9 +110,13 @@
 	if len(kept) == 0 {
 		return fleet.Server{}, false
 	}
-	if probe := slices.IndexFunc(kept, isSlow); probe >= 0 {
-		return *kept[probe].Server, true
+	if probe := s.probe(kept); probe != nil {
+		return *probe, true
 	}
+	if slices.ContainsFunc(kept, func(c Candidate) bool { return !isSlow(c) }) {
+		kept = slices.DeleteFunc(kept, isSlow)
+	}
+	kept = preferSure(w, kept)
 	scores := make([]float64, len(kept))
 	for i := range kept {
 		scores[i] = s.score(w, &kept[i])
@@ -115,13 +124,23 @@
 	return *kept[s.picker.Pick(kept, scores)].Server, true
 }
 
+// keep returns the candidates that pass every filter.
 func (s *Scheduler) keep(now time.Time, w *Work) []Candidate {
 	all := s.candidates(now, w)
-	return slices.DeleteFunc(all, func(c Candidate) bool { return !s.passes(w, &c) })
+	fast := slices.ContainsFunc(all, func(c Candidate) bool {
+		return !isSlow(c) && (ExcludedFilter{}).Keep(w, &c)
+	})
+	return slices.DeleteFunc(all, func(c Candidate) bool {
+		c.OnlySlow = !fast
+		return !passes(s.filters, w, &c)
+	})
 }
 
-func (s *Scheduler) passes(w *Work, c *Candidate) bool {
-	for _, f := range s.filters {
+// offers reports whether the server may take such work, room aside.
+func (s *Scheduler) offers(w *Work, c *Candidate) bool { return passes(s.offered, w, c) }
+
+func passes(filters []Filter, w *Work, c *Candidate) bool {
+	for _, f := range filters {
 		if !f.Keep(w, c) {
 			return false
 		}
@@ -129,6 +148,7 @@
 	return true
 }
 
+// score adds up the weighted scores of a candidate; lower is better.
 func (s *Scheduler) score(w *Work, c *Candidate) float64 {
 	sum := 0.0
 	for _, scorer := range s.scorers {
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -51,6 +51,8 @@
 	Slowness float64
 	// Probe says that a slow server may be given one request to measure it.
 	Probe bool
+	// OnlySlow says that every server that may take the work is slow.
+	OnlySlow bool
 	// Overlap is the share of the prompt that the server's cache likely holds.
 	Overlap float64
 	// DomainLoad is the used share of the server's failure domain's slots.
@@ -60,10 +62,12 @@
 	OwnPart, LongPart int
 	// LongSlots is the number of slots that long work may use.
 	LongSlots int
-	// Since counts this entry's requests begun since the load report arrived.
-	Since int
-	// BorrowPart is this entry's part of the reported free slots.
-	BorrowPart float64
+	// RoomFree says that this entry's short work is within what the room kept
+	// for short work is meant for.
+	RoomFree bool
+	// Borrow says that this entry may use more than its part of the slots,
+	// BorrowLong the same for long work.
+	Borrow, BorrowLong bool
 }
 
 // Running returns the estimated requests running on the server.
