--- a/root/process.go
+++ b/root/process.go
@@ -234,7 +234,9 @@
 
 func (p *Process) buildControl(replica *control.ReplicaOptions) error {
 	s := p.settings
-	p.dispatcher = dispatch.New(dispatch.Options{Views: p.views, Seed: p.incarnation, Entries: len(s.Members)})
+	p.dispatcher = dispatch.New(dispatch.Options{
+		Views: p.views, Seed: p.incarnation, Entries: len(s.Members), Self: s.VM,
+	})
 	cfg := machine.Config{
 		Self: fleet.VM{
 			ID: s.VM, Incarnation: p.incarnation, Address: p.EntryURL(), FailureDomain: s.Self().FailureDomain,
