--- a/root/traffic/engine/http.go
+++ b/root/traffic/engine/http.go
@@ -30,6 +30,7 @@
 	idleConnTimeout = 30 * time.Second
 	idlePerServer   = 64
 	maxAnswerBytes  = 32 << 20
+	maxHeadBytes    = 64 << 10
 )
 
 // HTTP is the Client over HTTP.
@@ -57,6 +58,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   once,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
@@ -181,8 +184,7 @@
 			return Event{}, fault.Wrap(err, fault.StreamCut, part, "the stream was cut")
 		}
 		if raw.id == "" {
-			a.received++
-			return Event{Data: raw.data, Done: isDone(raw.data)}, nil
+			return a.unnumbered(raw)
 		}
 		id, n, ok := splitEventID(raw.id)
 		switch {
@@ -200,6 +202,17 @@
 	}
 }
 
+// unnumbered takes an event of a server that does not number them. Where
+// numbers were asked for or seen, its place can't be known.
+func (a *httpAnswer) unnumbered(raw rawEvent) (Event, error) {
+	if a.resumable || a.call.ResumeAfter > 0 {
+		a.resumable = false
+		return Event{}, fault.New(fault.StreamCut, part, "an event without a number came after %d", a.received)
+	}
+	a.received++
+	return Event{Data: raw.data, Done: isDone(raw.data)}, nil
+}
+
 // Resumable reports whether the backend server numbers its events.
 func (a *httpAnswer) Resumable() bool { return a.resumable || a.received == 0 }
 
--- a/root/traffic/engine/sse.go
+++ b/root/traffic/engine/sse.go
@@ -56,7 +56,7 @@
 			if lines > 0 {
 				return ev, nil
 			}
-			ev = rawEvent{}
+			ev, size = rawEvent{}, 0
 			continue
 		}
 		size += len(line)
--- a/root/traffic/forward/forward.go
+++ b/root/traffic/forward/forward.go
@@ -129,9 +129,17 @@
 // commitTimeout bounds the wait for one commit of the ledger.
 const commitTimeout = 6 * time.Second
 
+// withDeadline bounds ctx; a zero deadline is none.
+func withDeadline(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	if at.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, at)
+}
+
 // commit submits one ledger command and returns its outcome.
-func (f *Forwarder) commit(ctx context.Context, cmd replicated.Command) (ledger.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+func (f *Forwarder) commit(ctx context.Context, wait time.Duration, cmd replicated.Command) (ledger.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	res, err := f.Submitter.Submit(ctx, cmd)
 	if err != nil {
--- a/root/traffic/forward/once.go
+++ b/root/traffic/forward/once.go
@@ -1,9 +1,9 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
@@ -27,6 +27,8 @@
 }
 
 func (f *Forwarder) serveOnce(ctx context.Context, r Request, sink Sink) error {
+	ctx, cancel := withDeadline(ctx, r.Work.Deadline)
+	defer cancel()
 	run := &onceRun{f: f, r: r, sink: sink, attempt: f.NewID(), private: r.Key == ""}
 	run.key = ledger.Key{Caller: r.Work.Caller, ID: r.Key}
 	if run.private {
@@ -69,7 +71,7 @@
 // begin asks the ledger for the right to send. answered means that the sink
 // has the recorded answer of an earlier attempt.
 func (run *onceRun) begin(ctx context.Context) (answered bool, err error) {
-	out, err := run.f.commit(ctx, replicated.BeginWork{Begin: ledger.Begin{
+	out, err := run.f.commit(ctx, commitTimeout, replicated.BeginWork{Begin: ledger.Begin{
 		Key:         run.key,
 		Attempt:     run.attempt,
 		Digest:      run.digest(),
@@ -78,7 +80,7 @@
 		Private:     run.private,
 	}})
 	if err != nil {
-		go run.cancel(ctx)
+		run.cancel(ctx)
 		return false, run.beginFailed(err)
 	}
 	switch out.Kind {
@@ -106,15 +108,20 @@
 	return ledger.DigestOf([]byte(run.r.Work.Class), []byte(run.r.Work.Target), []byte(c.Method), []byte(c.Path), c.Body)
 }
 
+// outcomeGrace is how long past the deadline the answer to work that was sent is
+// awaited, since an outcome that is known is worth more than one in time.
+const outcomeGrace = 30 * time.Second
+
 // send transmits the work. From here on the caller's departure changes
 // nothing: the outcome is awaited and recorded.
 func (run *onceRun) send(ctx context.Context, lease *dispatch.Lease) error {
 	if ctx.Err() != nil {
-		run.cancel(ctx)
 		lease.Done(dispatch.Cancelled)
+		run.cancel(ctx)
 		return fault.From(ctx.Err()).WithRan(fault.RanNo)
 	}
-	ctx = context.WithoutCancel(ctx)
+	ctx, stop := withDeadline(context.WithoutCancel(ctx), run.outcomeDeadline())
+	defer stop()
 	call := run.r.Call
 	call.Once = true
 	answer, err := run.f.Client.Do(ctx, lease.Server(), call)
@@ -131,6 +138,14 @@
 	return run.receive(ctx, lease, answer)
 }
 
+// outcomeDeadline is when an answer is no longer awaited; zero without a deadline.
+func (run *onceRun) outcomeDeadline() time.Time {
+	if run.r.Work.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return run.r.Work.Deadline.Add(outcomeGrace)
+}
+
 func (run *onceRun) sendFailed(ctx context.Context, lease *dispatch.Lease, err error) error {
 	out := fault.Wrap(err, fault.OutcomeUnknown, part, "%s failed", lease.Server().ID)
 	var send *engine.SendError
@@ -144,31 +159,44 @@
 
 // receive takes the whole answer, records it, and hands it on.
 func (run *onceRun) receive(ctx context.Context, lease *dispatch.Lease, answer engine.Answer) error {
-	rec := &recorder{sink: run.sink}
+	rec := &recorder{sink: run.sink, limit: ledger.DefaultLimits().MaxAnswerBytes}
 	var sent bool
-	_, err := transfer(answer, rec, lease, &sent)
+	moved, err := transfer(answer, rec, lease, &sent)
 	if err != nil {
 		lease.Done(dispatch.Failed)
 		run.finish(ctx, replicated.FinishWork{Finish: ledger.Finish{Unknown: true}})
-		return fault.From(err).WithRan(fault.RanYes)
+		return fault.From(err).WithRan(ranAfter(moved))
 	}
 	lease.Done(dispatch.Succeeded)
-	run.finish(ctx, replicated.FinishWork{Finish: ledger.Finish{Answer: rec.answer}})
+	run.finish(ctx, replicated.FinishWork{Finish: ledger.Finish{Answer: rec.answer.Bounded()}})
 	return rec.flush()
 }
 
+// ranAfter is the claim for an answer that broke after some events.
+func ranAfter(events int) fault.Ran {
+	if events > 0 {
+		return fault.RanYes
+	}
+	return fault.RanUnknown
+}
+
 // finish records the outcome. A failure to record leaves the key open or
 // unknown, so a resend is refused and never run.
 func (run *onceRun) finish(ctx context.Context, cmd replicated.FinishWork) {
 	cmd.Key = run.key
 	cmd.Attempt = run.attempt
-	_, _ = run.f.commit(ctx, cmd)
+	_, _ = run.f.commit(context.WithoutCancel(ctx), commitTimeout, cmd)
 }
 
-// cancel records that this attempt never sent and never will.
+// cancelTimeout bounds the wait for a Cancel. The control thread goes on
+// proposing it after the wait.
+const cancelTimeout = 1 * time.Second
+
+// cancel records that this attempt never sent and never will. The record of a
+// Cancel that is lost stays open, so a resend is refused and never run.
 func (run *onceRun) cancel(ctx context.Context) {
 	cmd := replicated.CancelWork{Cancel: ledger.Cancel{Key: run.key, Attempt: run.attempt}}
-	_, _ = run.f.commit(context.WithoutCancel(ctx), cmd)
+	_, _ = run.f.commit(context.WithoutCancel(ctx), cancelTimeout, cmd)
 }
 
 // replay hands a recorded answer to the sink.
@@ -176,61 +204,3 @@
 	head := engine.Head{Status: a.Status, Headers: []engine.Header{{Name: "Content-Type", Value: a.ContentType}}}
 	return sendWhole(run.sink, head, a.Body)
 }
-
-// recorder keeps a copy of the answer. A stream passes through as it comes; a
-// whole body is held back until it is recorded.
-type recorder struct {
-	sink   Sink
-	head   engine.Head
-	answer ledger.Answer
-	stream bytes.Buffer
-	// lost is the first error of the sink; the answer is still recorded.
-	lost error
-}
-
-// Head notes status and content type.
-func (rec *recorder) Head(h engine.Head) error {
-	rec.head = h
-	rec.answer.Status = h.Status
-	for _, f := range h.Headers {
-		if f.Name == "Content-Type" {
-			rec.answer.ContentType = f.Value
-		}
-	}
-	if h.Stream {
-		rec.lost = rec.sink.Head(h)
-	}
-	return nil
-}
-
-// Body keeps the whole body.
-func (rec *recorder) Body(b []byte) error {
-	rec.answer.Body = b
-	return nil
-}
-
-// Event keeps and passes on one event. The last one is held back.
-func (rec *recorder) Event(ev engine.Event) error {
-	engine.AppendEvent(&rec.stream, ev)
-	if rec.lost == nil && !ev.Done {
-		rec.lost = rec.sink.Event(ev)
-	}
-	if ev.Done {
-		rec.answer.Body = rec.stream.Bytes()
-	}
-	return nil
-}
-
-// flush hands on what was held back.
-func (rec *recorder) flush() error {
-	if rec.lost != nil {
-		return gone(rec.lost)
-	}
-	if rec.head.Stream {
-		if err := rec.sink.Event(engine.Event{Data: engine.DoneData(), Done: true}); err != nil {
-			return gone(err)
-		}
-		return nil
-	}
-	return sendWhole(rec.sink, rec.head, rec.answer.Body)
-}
--- a/root/traffic/frontdoor/addresses.go
+++ b/root/traffic/frontdoor/addresses.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/addresses"
 )
 
@@ -25,7 +24,7 @@
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
 	v := h.Views.Load()
 	if v == nil || !time.Now().Before(v.LeaseUntil) {
-		h.refuse(w, h.NewID(), "", fault.New(fault.NotReady, part, "this entry has no live view").WithRetryAfter(time.Second))
+		h.refuse(w, h.NewID(), "", errNoView())
 		return
 	}
 	caller := r.Header.Get(CallerHeader)
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -50,6 +50,11 @@
 
 func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
 	id := h.NewID()
+	if !h.Views.Load().Ready(time.Now()) {
+		// Without a lease the news may reach no other entry; the server is to ask the next one.
+		h.refuse(w, id, "", errNoView())
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
 	body, err := h.readBody(w, r)
 	if err != nil {
--- a/root/traffic/frontdoor/body.go
+++ b/root/traffic/frontdoor/body.go
@@ -12,6 +12,10 @@
 
 // readBody reads a whole request body within the limits on size and time.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if limit := h.Limits.MaxBodyBytes; r.ContentLength > limit {
+		// Refused before the body is asked for.
+		return nil, fault.New(fault.TooLarge, part, "the body is larger than %d bytes", limit)
+	}
 	control := http.NewResponseController(w)
 	// A listener without deadlines, such as in a test, reads without one.
 	_ = control.SetReadDeadline(time.Now().Add(h.Limits.BodyTimeout))
--- a/root/traffic/frontdoor/completion.go
+++ b/root/traffic/frontdoor/completion.go
@@ -20,26 +20,52 @@
 // completionRequest holds the fields that the system reads. The body itself is
 // passed on unchanged.
 type completionRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Model               string
+	Stream              bool
+	Messages            json.RawMessage
+	Prompt              json.RawMessage
+	MaxTokens           int
+	MaxCompletionTokens int
 }
 
+// maxTokens bounds the output that a request may ask for.
+const maxTokens = 1 << 22
+
+// parseCompletion reads a request. Field names count exactly, as they do for
+// backend servers, so that both read the same fields.
 func parseCompletion(body []byte) (completionRequest, error) {
 	var c completionRequest
-	if err := json.Unmarshal(body, &c); err != nil {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return c, fault.New(fault.Invalid, part, "the body is not a completion request: %v", err)
 	}
-	if c.Model == "" {
-		return c, fault.New(fault.Invalid, part, "model is missing")
+	targets := map[string]any{
+		"model": &c.Model, "stream": &c.Stream, "messages": &c.Messages, "prompt": &c.Prompt,
+		"max_tokens": &c.MaxTokens, "max_completion_tokens": &c.MaxCompletionTokens,
+	}
+	for name, target := range targets {
+		raw, ok := fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, target); err != nil {
+			return c, fault.New(fault.Invalid, part, "%s is wrong: %v", name, err)
+		}
 	}
-	if c.MaxTokens < 0 || c.MaxCompletionTokens < 0 {
-		return c, fault.New(fault.Invalid, part, "max_tokens is negative")
+	return c, c.check()
+}
+
+func (c completionRequest) check() error {
+	switch {
+	case c.Model == "":
+		return fault.New(fault.Invalid, part, "model is missing")
+	case c.MaxTokens < 0 || c.MaxCompletionTokens < 0:
+		return fault.New(fault.Invalid, part, "max_tokens is negative")
+	case c.MaxTokens > maxTokens || c.MaxCompletionTokens > maxTokens:
+		return fault.New(fault.Invalid, part, "max_tokens is more than %d", maxTokens)
+	default:
+		return nil
 	}
-	return c, nil
 }
 
 func (c completionRequest) text() []byte {
--- a/root/traffic/frontdoor/frontdoor.go
+++ b/root/traffic/frontdoor/frontdoor.go
@@ -52,6 +52,12 @@
 	Served  func(class string, took time.Duration)
 }
 
+// serviceMethods are the methods that reach a plain service.
+var serviceMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
 // Handler serves callers.
 type Handler struct {
 	Options
@@ -65,8 +71,10 @@
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", h.completion)
 	r.Post("/v1/completions", h.completion)
-	r.HandleFunc("/v1/services/{service}", h.service)
-	r.HandleFunc("/v1/services/{service}/*", h.service)
+	for _, method := range serviceMethods {
+		r.MethodFunc(method, "/v1/services/{service}", h.service)
+		r.MethodFunc(method, "/v1/services/{service}/*", h.service)
+	}
 	r.Get("/v1/addresses", h.addresses)
 	r.Get("/v1/models", h.models)
 	r.Post("/v1/backend-servers", h.announce)
@@ -91,3 +99,8 @@
 func (h *Handler) methodNotAllowed(w http.ResponseWriter, r *http.Request) {
 	h.refuse(w, h.NewID(), "", fault.New(fault.MethodNotAllowed, part, "%s is not allowed here", r.Method))
 }
+
+// errNoView refuses what an entry may not do without a live view.
+func errNoView() error {
+	return fault.New(fault.NotReady, part, "this entry has no live view").WithRetryAfter(time.Second)
+}
--- /dev/null
+++ b/root/traffic/frontdoor/frontdoor_test.go
@@ -0,0 +1,171 @@
+package frontdoor_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/forward"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+)
+
+const writeTimeout = 50 * time.Millisecond
+
+// door is a front door before one backend server.
+type door struct {
+	*httptest.Server
+	views   *view.Store
+	heard   []fleet.Server
+	backend *httptest.Server
+}
+
+func open(t *testing.T, backend http.HandlerFunc) *door {
+	d := &door{views: &view.Store{}, backend: httptest.NewServer(backend)}
+	t.Cleanup(d.backend.Close)
+	d.publish(time.Hour)
+	h := frontdoor.New(frontdoor.Options{
+		Views: d.views,
+		Forwarder: forward.New(forward.Options{
+			Dispatcher: dispatch.New(dispatch.Options{Views: d.views, Entries: 1}),
+			Client:     engine.NewHTTP(),
+		}),
+		Announce: func(_ context.Context, s fleet.Server) { d.heard = append(d.heard, s) },
+		Limits:   frontdoor.Limits{MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: writeTimeout},
+		NewID:    func() string { return "0123456789abcdef" },
+		Log:      logr.Discard(),
+		Served:   func(string, time.Duration) {},
+		Refused:  func(string, fault.Kind) {},
+	})
+	d.Server = httptest.NewServer(h)
+	t.Cleanup(d.Close)
+	return d
+}
+
+func (d *door) publish(lease time.Duration) {
+	d.views.Publish(&view.View{
+		Term: 1, Seq: 1, LeaseUntil: time.Now().Add(lease),
+		Table: table.Table{Classes: []table.Class{
+			{Name: "short", Weight: 1, Queue: 8, Deadline: time.Minute, Targets: []string{"assistant", "stock"}, Idempotent: true},
+		}},
+		Servers: []fleet.Server{{
+			ID: "server-1", Address: d.backend.URL, Targets: []string{"assistant", "stock"}, Slots: 8,
+		}},
+	})
+}
+
+// send returns status and body of one request.
+func (d *door) send(c *qt.C, method, path, body string, headers ...string) (*http.Response, string) {
+	req, err := http.NewRequest(method, d.URL+path, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := d.Client().Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return resp, string(data)
+}
+
+// echo answers with what a plain service sees.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	io.WriteString(w, r.Method+" "+r.URL.RequestURI()+" "+string(body))
+}
+
+func TestRequestsAreReadAsBackendServersReadThem(t *testing.T) {
+	d := open(t, echo)
+	tests := []struct {
+		method, path, body string
+		status             int
+		want               string
+	}{
+		{"POST", "/v1/services/stock/a/b?c=d%20e", "x", 200, "POST /a/b?c=d%20e x"},
+		{"DELETE", "/v1/services/stock?c=d", "", 200, "DELETE /?c=d "},
+		{"HEAD", "/v1/services/stock/a", "", 200, ""},
+		{"TRACE", "/v1/services/stock/a", "", 405, `"kind":"method_not_allowed","ran":"no"`},
+		{"POST", "/v1/completions?x=1", `{"model":"assistant"}`, 200, "POST /v1/completions?x=1"},
+		{"POST", "/v1/completions", `{"model":"assistant","Model":"other"}`, 200, "POST"},
+		{"POST", "/v1/completions", `{"MODEL":"assistant"}`, 400, "model is missing"},
+		{"POST", "/v1/completions", `{"model":"assistant"} x`, 400, `"ran":"no"`},
+		{"POST", "/v1/completions", `{"model":{}}`, 400, "model is wrong"},
+		{"POST", "/v1/completions", `{"model":"assistant","max_tokens":1e9}`, 400, "max_tokens is"},
+		{"POST", "/v1/completions", `{"model":"assistant","max_tokens":null,"stream":null}`, 200, "POST"},
+		{"POST", "/v1/completions", strings.Repeat("x", 2000), 413, `"kind":"too_large","ran":"no"`},
+		{"POST", "/v1/services/other/a", "", 404, `"kind":"not_found","ran":"no"`},
+	}
+	for _, test := range tests {
+		t.Run(test.method+test.path+test.body[:min(40, len(test.body))], func(t *testing.T) {
+			c := qt.New(t)
+			resp, body := d.send(c, test.method, test.path, test.body)
+			c.Check(resp.StatusCode, qt.Equals, test.status)
+			c.Check(body, qt.Contains, test.want)
+		})
+	}
+}
+
+func TestWriteTimeoutOfOneAnswerDoesNotCutTheNext(t *testing.T) {
+	c := qt.New(t)
+	d := open(t, echo)
+	d.send(c, "POST", "/v1/services/stock/a", "x")
+	expired := time.NewTimer(2 * writeTimeout)
+	<-expired.C
+	// The client's transport sends a POST once only.
+	resp, _ := d.send(c, "POST", "/v1/none", "")
+	c.Check(resp.StatusCode, qt.Equals, http.StatusNotFound)
+}
+
+func TestBodyThatIsTooLargeIsNotAskedFor(t *testing.T) {
+	c := qt.New(t)
+	d := open(t, echo)
+	body := &countingReader{left: 1 << 20}
+	req, err := http.NewRequest("POST", d.URL+"/v1/services/stock/a", body)
+	c.Assert(err, qt.IsNil)
+	req.ContentLength = 1 << 20
+	req.Header.Set("Expect", "100-continue")
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	c.Check(resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Check(body.left, qt.Equals, 1<<20)
+}
+
+type countingReader struct{ left int }
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n := min(len(p), r.left)
+	r.left -= n
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func TestEntryWithoutLeaseSendsAnnouncementsElsewhere(t *testing.T) {
+	c := qt.New(t)
+	d := open(t, echo)
+	body := `{"id":"e","incarnation":1,"address":"http://127.0.0.1:1","kind":"engine","slots":1,"models":["m"]}`
+	resp, _ := d.send(c, "POST", "/v1/backend-servers", body)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	d.publish(-time.Second)
+	resp, text := d.send(c, "POST", "/v1/backend-servers", body)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(text, qt.Contains, `"kind":"not_ready"`)
+	c.Check(d.heard, qt.HasLen, 1)
+}
--- a/root/traffic/frontdoor/sink.go
+++ b/root/traffic/frontdoor/sink.go
@@ -24,6 +24,8 @@
 	control *http.ResponseController
 	id      string
 	timeout time.Duration
+	// once is set for work that must not repeat.
+	once    bool
 	started bool
 	stream  bool
 	// status is written with the whole body.
@@ -35,6 +37,13 @@
 	return &sink{w: w, control: http.NewResponseController(w), id: id, timeout: timeout}
 }
 
+// forbidRetry tells client libraries not to send work again that failed.
+func (s *sink) forbidRetry(status int) {
+	if s.once && status >= http.StatusBadRequest {
+		s.w.Header().Set(retryHeader, "false")
+	}
+}
+
 // Head writes headers; the status of a whole body follows with it.
 func (s *sink) Head(h engine.Head) error {
 	head := s.w.Header()
@@ -44,6 +53,7 @@
 		}
 	}
 	head.Set(requestIDHeader, s.id)
+	s.forbidRetry(h.Status)
 	s.stream = h.Stream
 	if !h.Stream {
 		s.status = h.Status
--- a/root/traffic/frontdoor/work.go
+++ b/root/traffic/frontdoor/work.go
@@ -79,6 +79,7 @@
 		return
 	}
 	out := newSink(w, id, h.Limits.WriteTimeout)
+	out.once = !req.Idempotent
 	err = h.Forwarder.Serve(r.Context(), req, out)
 	switch {
 	case err == nil:
@@ -100,7 +101,7 @@
 func (h *Handler) complete(r *http.Request, id string, arrived time.Time, req *forward.Request) (table.Class, error) {
 	v := h.Views.Load()
 	if !v.Ready(arrived) {
-		return table.Class{}, fault.New(fault.NotReady, part, "this entry has no live view").WithRetryAfter(time.Second)
+		return table.Class{}, errNoView()
 	}
 	class, err := chooseClass(&v.Table, r.Header.Get(ClassHeader), req.Work.Target)
 	if err != nil {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -107,6 +107,20 @@
 	fail(ts, within(startLimit, func() error { return conditions["server"](c, []string{id, "active"}) }))
 }
 
+// cmdRestart starts processes again; a stand-in is up once it answers.
+func cmdRestart(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "restart process...")
+	c := clusterOf(ts)
+	for _, name := range args {
+		p, err := c.process(name)
+		fail(ts, err)
+		fail(ts, p.start())
+		if c.backends[name] != nil {
+			fail(ts, within(startLimit, func() error { return journalHas(c, []string{name}) }))
+		}
+	}
+}
+
 // cmdFault tells a stand-in how to misbehave: fault id JSON.
 func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 2, "fault id JSON")
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -128,10 +128,12 @@
 			return
 		}
 		if !run.event(i, run.chunk(Token(run.c.text(), i), "")) {
+			run.s.ended(run.journal, "cancelled")
 			return
 		}
 	}
 	if resumed <= run.total && !run.event(run.total+1, run.chunk("", "stop")) {
+		run.s.ended(run.journal, "cancelled")
 		return
 	}
 	run.event(run.total+2, []byte("[DONE]"))
