--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -121,6 +121,8 @@
 		ReplicaId:    string(m.Replica),
 		Stopped:      m.Stopped,
 		Loads:        fromOwnLoads(m.Loads),
+		LoadsTerm:    m.LoadsTerm,
+		LoadsSeq:     m.LoadsSeq,
 		Demands:      fromDemands(m.Demands),
 	}
 	for _, h := range m.Heard {
@@ -139,6 +141,8 @@
 		Replica:      consensus.NodeID(p.ReplicaId),
 		Stopped:      p.Stopped,
 		Loads:        toOwnLoads(p.Loads),
+		LoadsTerm:    p.LoadsTerm,
+		LoadsSeq:     p.LoadsSeq,
 		Demands:      toDemands(p.Demands),
 	}
 	for _, h := range p.Heard {
@@ -155,8 +159,8 @@
 		Seq:        m.Seq,
 		Shares:     fromShares(m.Shares),
 	}
-	if m.View != nil {
-		out.View = fromView(m.View)
+	if m.Update != nil {
+		out.Update = fromUpdate(m.Update)
 	}
 	return out
 }
@@ -169,8 +173,8 @@
 		Seq:    p.Seq,
 		Shares: toShares(p.Shares),
 	}
-	if p.View != nil {
-		out.View = toView(p.View)
+	if p.Update != nil {
+		out.Update = toUpdate(p.Update)
 	}
 	return out
 }
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -19,7 +19,9 @@
 	state *replicated.State
 	// applied is the index of the last entry in state; compacted the last snapshot's.
 	applied, compacted uint64
-	leader             *leader
+	// encoding is set while a snapshot is being encoded.
+	encoding bool
+	leader   *leader
 }
 
 func newReplica(m *Machine, rc ReplicaConfig) (*replica, error) {
@@ -27,13 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{m: m, id: rc.Consensus.ID, core: core, codec: rc.Codec, state: replicated.New()}
-	if snap := rc.Restored.Snapshot; snap != nil {
-		if err := r.restore(snap); err != nil {
-			return nil, err
-		}
-	}
-	return r, nil
+	return &replica{m: m, id: rc.Consensus.ID, core: core, codec: rc.Codec, state: replicated.New()}, nil
 }
 
 // VMOf returns the VM that a replica identity belongs to.
@@ -42,7 +38,11 @@
 	return vm
 }
 
+// restore replaces the state. The snapshot at index 0 holds the first members only.
 func (r *replica) restore(snap *consensus.Snapshot) error {
+	if snap.Index == 0 {
+		return nil
+	}
 	typed, err := r.codec.DecodeSnapshot(snap.Data)
 	if err != nil {
 		return err
@@ -136,22 +136,33 @@
 	return true
 }
 
-// compact hands the core a snapshot once enough entries were applied.
+// compact asks for the bytes of a snapshot once enough entries were applied.
 func (r *replica) compact() {
 	every := r.m.cfg.CompactEvery
-	if every == 0 || r.applied-r.compacted < every {
+	if every == 0 || r.encoding || r.applied-r.compacted < every {
 		return
 	}
-	data, err := r.codec.EncodeSnapshot(r.state.Snapshot())
-	if err != nil {
-		r.m.halt(fault.Internal, "snapshot at %d can't be encoded: %v", r.applied, err)
+	r.encoding = true
+	r.m.emit(EncodeSnapshot{Index: r.applied, State: r.state.Snapshot()})
+}
+
+// snapshotEncoded hands the snapshot to the core, unless a later one was
+// restored meanwhile.
+func (r *replica) snapshotEncoded(ev SnapshotEncoded) {
+	r.encoding = false
+	if ev.Err != nil {
+		r.m.halt(fault.Internal, "snapshot at %d can't be encoded: %v", ev.Index, ev.Err)
+		return
+	}
+	if ev.Index <= r.compacted {
 		return
 	}
-	if err := r.core.Compact(r.applied, data); err != nil {
+	if err := r.core.Compact(ev.Index, ev.Data); err != nil {
 		r.m.emit(Halt{Err: fault.From(err)})
 		return
 	}
-	r.compacted = r.applied
+	r.compacted = ev.Index
+	r.drain()
 }
 
 // followLeadership starts and ends the leader's work. A leader acts only once
@@ -178,7 +189,10 @@
 
 // active returns the leader while it holds its lease, and nil otherwise.
 func (r *replica) active() *leader {
-	if r.leader == nil || !r.m.now.Before(r.core.Status().LeaseUntil) {
+	if r.leader == nil {
+		return nil
+	}
+	if !r.m.now.Before(r.core.Status().LeaseUntil) && r.m.keeps(ruleLeaderLease) {
 		return nil
 	}
 	return r.leader
@@ -212,13 +226,6 @@
 	return ""
 }
 
-func (r *replica) orderDone(ev OrderDone) {
-	if r.leader != nil {
-		r.leader.orderDone(ev)
-		r.drain()
-	}
-}
-
 // handOver gives up leadership to the most advanced voter.
 func (r *replica) handOver() {
 	st := r.core.Status()
--- a/root/traffic/scheduling/work.go
+++ b/root/traffic/scheduling/work.go
@@ -37,7 +37,7 @@
 
 // Candidate is a server with what this entry knows of it.
 type Candidate struct {
-	Server fleet.Server
+	Server *fleet.Server
 	// Own is this entry's running requests on the server, OwnLong the long ones.
 	Own, OwnLong int
 	// Peers is the estimate of the other entries' running requests.
@@ -60,8 +60,10 @@
 	OwnPart, LongPart int
 	// LongSlots is the number of slots that long work may use.
 	LongSlots int
-	// LongFree says that this entry's long work is under its part of the fleet.
-	LongFree bool
+	// Since counts this entry's requests begun since the load report arrived.
+	Since int
+	// BorrowPart is this entry's part of the reported free slots.
+	BorrowPart float64
 }
 
 // Running returns the estimated requests running on the server.
