--- a/root/traffic/frontdoor/body.go
+++ b/root/traffic/frontdoor/body.go
@@ -12,8 +12,9 @@
 
 // readBody reads a whole request body within the limits on size and time.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if limit := h.Limits.MaxBodyBytes; r.ContentLength > limit {
-		// Refused before the body is asked for.
+	if limit := h.Limits.MaxBodyBytes; r.ContentLength > limit && r.Header.Get("Expect") != "" {
+		// The caller waits to be asked for the body. A caller that sends it anyway
+		// is read up to the limit, or it would not see the refusal.
 		return nil, fault.New(fault.TooLarge, part, "the body is larger than %d bytes", limit)
 	}
 	control := http.NewResponseController(w)
--- a/scenario/await_test.go
+++ b/scenario/await_test.go
@@ -81,6 +81,7 @@
 		"ended":    callsEnded,
 		"honest":   isHonest,
 		"idle":     isIdle,
+		"resent":   resentIs,
 	}
 }
 
@@ -388,3 +389,19 @@
 	}
 	return nil
 }
+
+// resentIs: vm key body kind, says how a resend of an order is refused.
+func resentIs(c *cluster, args []string) error {
+	k, err := c.newCall([]string{
+		args[0], http.MethodPost, "/v1/services/stock/orders",
+		"class=order", "key=" + args[1], "body=" + args[2],
+	})
+	if err != nil {
+		return err
+	}
+	k.run()
+	if got := k.field("kind"); got != args[3] {
+		return fmt.Errorf("the resend is answered with %q: %s", got, k.masked())
+	}
+	return nil
+}
