--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -28,6 +28,8 @@
 	lastHeard time.Time
 	// running holds each VM's own requests in flight on the server.
 	running map[string]OwnLoad
+	// seeded is set until the first announcement is heard.
+	seeded bool
 }
 
 type vmEntry struct {
@@ -40,6 +42,23 @@
 	return &Tracker{timing: timing, servers: map[string]*serverEntry{}, vms: map[string]*vmEntry{}}
 }
 
+// Seed takes over what an earlier view showed, as if heard now. Whoever stays
+// silent is suspected after the usual time.
+func (t *Tracker) Seed(servers []Server, vms []VM, now time.Time) {
+	for _, s := range servers {
+		if s.State == Draining {
+			s.State = Active
+		}
+		t.servers[s.ID] = &serverEntry{server: s, lastHeard: now, running: map[string]OwnLoad{}, seeded: true}
+	}
+	for _, vm := range vms {
+		if vm.State == Draining {
+			vm.State = Active
+		}
+		t.vms[vm.ID] = &vmEntry{vm: vm, lastHeard: now}
+	}
+}
+
 // HearServer records an announcement heard at the given time and reports
 // whether anything but the load changed. An older incarnation is ignored, and
 // so is an older announcement of the same incarnation.
@@ -58,6 +77,7 @@
 	changed := !sameAnnouncement(e.server, s)
 	e.server = s
 	e.lastHeard = heardAt
+	e.seeded = false
 	return changed
 }
 
@@ -67,7 +87,7 @@
 	if e.server.State == Leaving {
 		return false
 	}
-	return s.State == Leaving || heardAt.After(e.lastHeard)
+	return s.State == Leaving || e.seeded || heardAt.After(e.lastHeard)
 }
 
 func sameAnnouncement(a, b Server) bool {
@@ -170,7 +190,7 @@
 // Reported returns the server's own latest load report and when it was heard.
 func (t *Tracker) Reported(id string) (Load, time.Time, bool) {
 	e := t.servers[id]
-	if e == nil {
+	if e == nil || e.seeded {
 		return Load{}, time.Time{}, false
 	}
 	return e.server.Load, e.lastHeard, true
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -64,6 +64,10 @@
 		sweepAt:  m.now.Add(m.cfg.Timing.LeaderSweep),
 		ledgerAt: m.now.Add(m.cfg.Timing.LedgerTick),
 	}
+	// Entries go on with the servers that they know: the earlier leader's view
+	// stands until reports confirm it or silence ends it.
+	before := m.member.current
+	l.fleet.Seed(before.Servers, before.VMs, m.now)
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
 	l.rebuild()
@@ -138,11 +142,10 @@
 
 // renewed takes one process's report and grants it a view lease.
 func (l *leader) renewed(from string, msg Renew) {
-	old, known := l.fleet.VM(from)
-	if known && msg.VM.Incarnation < old.Incarnation {
+	if old, known := l.fleet.VM(from); known && msg.VM.Incarnation < old.Incarnation {
 		return
 	}
-	if !known || msg.VM.Incarnation > old.Incarnation {
+	if h := l.holders[from]; h == nil || h.vm.Incarnation < msg.VM.Incarnation {
 		l.abandonBefore(msg.VM)
 	}
 	if msg.Stopped {
