--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -47,7 +47,9 @@
 		LedgerTick:     time.Minute,
 		MaxClockDrift:  0.01,
 		Fleet: fleet.Timing{
-			SuspectAfter: 3 * time.Second,
+			// A server that announced itself at an entry that was cut off turns to
+			// another once the entry's lease has run out and its next turn comes.
+			SuspectAfter: 5 * time.Second,
 			RemoveAfter:  30 * time.Second,
 		},
 	}
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -60,13 +60,24 @@
 	}
 	index, err := l.r.core.Propose(l.m.now, data)
 	if err != nil {
-		l.answer(p, replicated.Result{Err: fault.From(err)})
+		l.declined(p, err)
 		return
 	}
 	p.term = l.term
 	l.waiting[index] = p
 }
 
+// declined answers a proposal that was not taken into the log. While leadership
+// moves, the proposer asks again, and nobody is refused.
+func (l *leader) declined(p proposer, err error) {
+	moves := fault.Is(err, fault.NotReady) || fault.Is(err, fault.NotLeader)
+	if moves && p.vm != "" {
+		l.m.send(p.vm, NotLeader{Proposal: p.id})
+		return
+	}
+	l.answer(p, replicated.Result{Err: fault.From(err)})
+}
+
 // applied answers the proposer of a committed entry. A changed table is
 // answered only once it is in force everywhere.
 func (l *leader) applied(e consensus.Entry, cmd replicated.Command, result replicated.Result) {
--- a/root/traffic/admission/limits.go
+++ b/root/traffic/admission/limits.go
@@ -28,6 +28,10 @@
 		rate:  c.RatePerSecond * share,
 		queue: int(math.Ceil(float64(c.Queue)*share - rounding)),
 	}
+	if c.Queue > 0 {
+		// One may wait anywhere: its waiting is the demand that brings a share.
+		l.queue = max(1, l.queue)
+	}
 	l.concurrency = part(c.Concurrency, share, leased)
 	l.tokens = part(c.Tokens, share, leased)
 	return l
--- a/root/traffic/admission/shares.go
+++ b/root/traffic/admission/shares.go
@@ -21,8 +21,8 @@
 // Split divides a class's fleet-wide limits among the entries: a quarter
 // evenly, the rest by demand, so that unused shares go back to entries that
 // need them. With a limit above zero each share is a whole number of units and
-// the shares add up to at most 1; where there are fewer units than entries, the
-// entries with the most demand get them.
+// the shares add up to at most 1; every entry has at least one unit, or where
+// there are fewer units than entries, those with the most demand get them.
 func Split(limit int, entries []EntryDemand) map[string]float64 {
 	sorted := slices.Clone(entries)
 	slices.SortFunc(sorted, byDemandThenName)
@@ -76,8 +76,14 @@
 	units := make([]int, len(parts))
 	order := make([]int, len(parts))
 	left := limit
+	// With a unit for everybody, an entry that was quiet can begin at once.
+	least := 0
+	if limit >= len(parts) {
+		least = 1
+		parts = withFloor(parts, 1/float64(limit))
+	}
 	for i, p := range parts {
-		units[i] = int(math.Floor(p*float64(limit) + rounding))
+		units[i] = max(least, int(math.Floor(p*float64(limit)+rounding)))
 		left -= units[i]
 		order[i] = i
 	}
@@ -100,3 +106,21 @@
 	}
 	return out
 }
+
+// withFloor raises small parts to the floor and takes the difference from what
+// the others have above it.
+func withFloor(parts []float64, floor float64) []float64 {
+	above, missing := 0.0, 0.0
+	for _, p := range parts {
+		above += max(0, p-floor)
+		missing += max(0, floor-p)
+	}
+	out := make([]float64, len(parts))
+	for i, p := range parts {
+		out[i] = floor
+		if p > floor && above > 0 {
+			out[i] = p - missing*(p-floor)/above
+		}
+	}
+	return out
+}
