--- a/root/fronts.go
+++ b/root/fronts.go
@@ -19,6 +19,7 @@
 // buildFronts adds the parts that listen for callers and operators.
 func (p *Process) buildFronts() error {
 	recorder := burn.New(burn.Options{VM: p.settings.VM, Views: p.views})
+	p.recorder.Store(recorder)
 	if p.settings.Entry != nil {
 		p.traffic = traffic.New(p.trafficOptions(recorder))
 	}
@@ -58,8 +59,8 @@
 		},
 		AddressLifetime: p.settings.Entry.AddressLifetime(),
 		NewID:           randomID,
-		Served: func(class string, took time.Duration) {
-			recorder.Answered(class, burn.Timing{Whole: took})
+		Served: func(class string, t frontdoor.Timing) {
+			recorder.Answered(class, burn.Timing{FirstToken: t.FirstToken, Whole: t.Whole})
 		},
 		Refused: recorder.Refused,
 	}
--- a/root/process.go
+++ b/root/process.go
@@ -23,6 +23,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
+	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
 	"github.com/wagtaildyke/wagtaildyke/root/orders"
 	"github.com/wagtaildyke/wagtaildyke/root/peers"
 	"github.com/wagtaildyke/wagtaildyke/root/storage"
@@ -49,7 +50,9 @@
 	writer      *storage.Writer
 	orders      *orders.Sender
 	// applied is the newest view that the dispatcher goes by.
-	applied   atomic.Pointer[view.View]
+	applied atomic.Pointer[view.View]
+	// recorder counts role changes in each view; set before anything is served.
+	recorder  atomic.Pointer[burn.Recorder]
 	listeners Listeners
 	// halted receives the error that ends the process.
 	halted chan *fault.Error
@@ -279,6 +282,9 @@
 	p.views.Publish(v)
 	p.dispatcher.ViewChanged()
 	p.applied.Store(v)
+	if r := p.recorder.Load(); r != nil {
+		r.Observe(v)
+	}
 }
 
 func (p *Process) setShares(shares []fleet.Share) {
--- a/root/traffic/frontdoor/frontdoor.go
+++ b/root/traffic/frontdoor/frontdoor.go
@@ -49,7 +49,7 @@
 	Log             logr.Logger
 	// Refused is told of every refusal; Served of every whole answer.
 	Refused func(class string, kind fault.Kind)
-	Served  func(class string, took time.Duration)
+	Served  func(class string, t Timing)
 }
 
 // serviceMethods are the methods that reach a plain service.
@@ -58,6 +58,12 @@
 	http.MethodPatch, http.MethodDelete, http.MethodOptions,
 }
 
+// Timing says how long a whole answer took from the arrival of its request.
+type Timing struct {
+	// FirstToken is 0 for an answer that was no stream.
+	FirstToken, Whole time.Duration
+}
+
 // Handler serves callers.
 type Handler struct {
 	Options
--- a/root/traffic/frontdoor/sink.go
+++ b/root/traffic/frontdoor/sink.go
@@ -30,7 +30,9 @@
 	stream  bool
 	// status is written with the whole body.
 	status int
-	buf    bytes.Buffer
+	// firstAt is when the first event went out.
+	firstAt time.Time
+	buf     bytes.Buffer
 }
 
 func newSink(w http.ResponseWriter, id string, timeout time.Duration) *sink {
@@ -78,6 +80,9 @@
 
 // Event writes one event at once.
 func (s *sink) Event(ev engine.Event) error {
+	if s.firstAt.IsZero() {
+		s.firstAt = time.Now()
+	}
 	s.buf.Reset()
 	engine.AppendEvent(&s.buf, ev)
 	s.deadline()
@@ -103,3 +108,12 @@
 
 // deadline bounds the next write to a caller that reads slowly.
 func (s *sink) deadline() { _ = s.control.SetWriteDeadline(time.Now().Add(s.timeout)) }
+
+// timing measures a whole answer.
+func (s *sink) timing(arrived time.Time) Timing {
+	t := Timing{Whole: time.Since(arrived)}
+	if !s.firstAt.IsZero() {
+		t.FirstToken = s.firstAt.Sub(arrived)
+	}
+	return t
+}
--- a/root/traffic/frontdoor/work.go
+++ b/root/traffic/frontdoor/work.go
@@ -83,7 +83,7 @@
 	err = h.Forwarder.Serve(r.Context(), req, out)
 	switch {
 	case err == nil:
-		h.Served(class.Name, time.Since(arrived))
+		h.Served(class.Name, out.timing(arrived))
 		h.Log.V(1).Info("answered a request", "request", id, "class", class.Name)
 	case out.started:
 		h.Refused(class.Name, fault.KindOf(err))
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -38,7 +38,7 @@
 	Server          frontdoor.ServerOptions
 	AddressLifetime time.Duration
 	NewID           func() string
-	Served          func(class string, took time.Duration)
+	Served          func(class string, t frontdoor.Timing)
 	Refused         func(class string, kind fault.Kind)
 }
 
