--- a/root/control/control.go
+++ b/root/control/control.go
@@ -22,7 +22,7 @@
 // Timing of the replicated log for VMs a few milliseconds apart.
 const (
 	electionTimeout   = 600 * time.Millisecond
-	heartbeatInterval = 100 * time.Millisecond
+	heartbeatInterval = 200 * time.Millisecond
 	maxBatchBytes     = 1 << 20
 )
 
--- a/root/peers/frame.go
+++ b/root/peers/frame.go
@@ -13,16 +13,16 @@
 // maxFrameBytes bounds one frame; a snapshot must fit.
 const maxFrameBytes = 257 << 20
 
-// writeFrame writes a frame with its length in front.
+// writeFrame writes a frame with its length in front, in one write: each write
+// becomes a packet of its own.
 func writeFrame(w io.Writer, frame []byte) error {
 	if len(frame) > maxFrameBytes {
 		return fault.New(fault.TooLarge, part, "frame of %d bytes", len(frame))
 	}
-	head := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), uint64(len(frame)))
-	if _, err := w.Write(head); err != nil {
-		return err
-	}
-	_, err := w.Write(frame)
+	out := make([]byte, 0, binary.MaxVarintLen64+len(frame))
+	out = binary.AppendUvarint(out, uint64(len(frame)))
+	out = append(out, frame...)
+	_, err := w.Write(out)
 	return err
 }
 
