--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -59,9 +59,10 @@
 		b.publish(func(v *view.View) { v.Stopping = true })
 	case StopDone:
 		b.stopped = true
-		if b.m.replica != nil {
-			b.m.replica.handOver()
-		}
+	}
+	// Leadership moves first, while this process still takes part in the log.
+	if b.m.replica != nil && phase != StopRefusing {
+		b.m.replica.handOver()
 	}
 }
 
@@ -96,7 +97,7 @@
 
 func (b *member) renewMessage() Renew {
 	vm := b.m.cfg.Self
-	vm.State = b.state
+	vm.State = b.shownState()
 	vm.InFlight = b.own.InFlight
 	return Renew{
 		VM:           vm,
@@ -114,6 +115,14 @@
 	}
 }
 
+// shownState keeps callers away until this process may take new work.
+func (b *member) shownState() fleet.State {
+	if b.state == fleet.Active && !b.current.Ready(b.m.now) {
+		return fleet.Suspected
+	}
+	return b.state
+}
+
 func (b *member) replicaID() consensus.NodeID {
 	if b.m.replica == nil {
 		return ""
@@ -208,8 +217,14 @@
 		sent = b.m.now
 	}
 	until := sent.Add(g.Lease - drift)
-	if until.After(b.current.LeaseUntil) {
-		b.publish(func(v *view.View) { v.LeaseUntil = until })
+	if !until.After(b.current.LeaseUntil) {
+		return
+	}
+	wasReady := b.current.Ready(b.m.now)
+	b.publish(func(v *view.View) { v.LeaseUntil = until })
+	if !wasReady {
+		// The others learn at once that callers may come.
+		b.nextRenew = b.m.now
 	}
 }
 
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -6,6 +6,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 )
 
@@ -226,16 +227,19 @@
 	return ""
 }
 
-// handOver gives up leadership to the most advanced voter.
+// handOver gives up leadership to the most advanced voter, if there is one to
+// a VM that goes on taking work.
 func (r *replica) handOver() {
 	st := r.core.Status()
 	if !st.IsLeader {
 		return
 	}
-	var best consensus.NodeID
+	best, bestActive := consensus.NodeID(""), false
 	for _, id := range st.Members.Voters {
-		if id != r.id && (best == "" || st.Match[id] > st.Match[best]) {
-			best = id
+		active := r.isActive(VMOf(id))
+		ahead := best == "" || (active && !bestActive) || (active == bestActive && st.Match[id] > st.Match[best])
+		if id != r.id && ahead {
+			best, bestActive = id, active
 		}
 	}
 	if best == "" {
@@ -245,3 +249,12 @@
 	_ = r.core.TransferLeadership(r.m.now, best)
 	r.drain()
 }
+
+// isActive reports whether a VM is known to go on taking work.
+func (r *replica) isActive(vm string) bool {
+	if r.leader == nil {
+		return false
+	}
+	known, ok := r.leader.fleet.VM(vm)
+	return ok && known.State == fleet.Active
+}
