--- a/cmd/wagtaildyke/main.go
+++ b/cmd/wagtaildyke/main.go
@@ -19,8 +19,8 @@
 
 func main() { os.Exit(run(os.Args, os.Stdout, os.Stderr)) }
 
-// run returns the exit code from the table of error kinds. Only answers go to
-// stdout; everything else goes to stderr.
+// run returns the exit code from the table of error kinds. Answers, and the log
+// of serve, go to stdout; everything else goes to stderr.
 func run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
