--- a/api/codec/routes_test.go
+++ b/api/codec/routes_test.go
@@ -24,7 +24,7 @@
 			Split: []routes.Share{{Service: "llm", Weight: 1}},
 		}
 		d.Routes = append(d.Routes, r)
-		d.Source = fmt.Appendf(d.Source, `{"Name":%q,"Host":%q,"PathPrefix":%q,"Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":1,"Service":"llm","MaxAttempts":2,"Sticky":true,"Resumable":true,"TargetGapMs":150},`, r.Name, r.Host, r.Prefix)
+		d.Source = fmt.Appendf(d.Source, `{"name":%q,"host":%q,"prefix":%q,"kind":"stream","timeout":"5000 ms","objective":"500 ms","priority":1,"service":"llm","attempts":2,"describes a prompt":true,"resumable":true,"gap":"150 ms"},`, r.Name, r.Host, r.Prefix)
 	}
 	return d
 }
