--- a/api/codec/command.go
+++ b/api/codec/command.go
@@ -40,6 +40,10 @@
 		m.Body = &api.LogCommand_SetFencing{SetFencing: &api.LogSetFencing{Server: c.Server, Checks: c.Checks, By: c.By, AtMs: c.At}}
 	case replicated.Tick:
 		m.Body = &api.LogCommand_Tick{Tick: &api.LogTick{AtMs: c.At}}
+	case replicated.ReplaceRoutes:
+		m.Body = &api.LogCommand_ReplaceRoutes{ReplaceRoutes: &api.LogReplaceRoutes{Routes: fromRoutes(c.Document), AtMs: c.At}}
+	case replicated.ReadRoutes:
+		m.Body = &api.LogCommand_ReadRoutes{ReadRoutes: &api.LogReadRoutes{AtMs: c.At}}
 	default:
 		return nil, fault.New(fault.Invalid, part, "%T is not a command", c)
 	}
@@ -83,6 +87,14 @@
 		return replicated.SetFencing{Server: b.SetFencing.Server, Checks: b.SetFencing.Checks, By: b.SetFencing.By, At: b.SetFencing.AtMs}, nil
 	case *api.LogCommand_Tick:
 		return replicated.Tick{At: b.Tick.AtMs}, nil
+	case *api.LogCommand_ReplaceRoutes:
+		document, err := toRoutes(b.ReplaceRoutes.Routes)
+		if document == nil && err == nil {
+			return nil, corrupt("a replacement without routes")
+		}
+		return replicated.ReplaceRoutes{Document: document, At: b.ReplaceRoutes.AtMs}, err
+	case *api.LogCommand_ReadRoutes:
+		return replicated.ReadRoutes{At: b.ReadRoutes.AtMs}, nil
 	default:
 		return nil, corrupt("a command without a body")
 	}
--- a/api/codec/fleet.go
+++ b/api/codec/fleet.go
@@ -13,6 +13,7 @@
 	out := &api.ViewUpdate{
 		Term: u.Term, Seq: u.Seq, Base: u.Base,
 		RemovedServers: u.RemovedServers, RemovedVms: u.RemovedVMs,
+		Routes: fromRoutes(u.Routes), Partial: u.Partial,
 	}
 	if u.Table != nil {
 		out.HasTable = true
@@ -28,10 +29,15 @@
 	return out
 }
 
-func toUpdate(p *api.ViewUpdate) *view.Update {
+func toUpdate(p *api.ViewUpdate) (*view.Update, error) {
+	document, err := toRoutes(p.Routes)
+	if err != nil {
+		return nil, err
+	}
 	out := &view.Update{
 		Term: p.Term, Seq: p.Seq, Base: p.Base,
 		RemovedServers: p.RemovedServers, RemovedVMs: p.RemovedVms,
+		Routes: document, Partial: p.Partial,
 	}
 	if p.HasTable {
 		out.Table = &table.Table{Version: p.TableVersion, Classes: toClasses(p.Classes)}
@@ -42,7 +48,7 @@
 	for _, vm := range p.Vms {
 		out.VMs = append(out.VMs, toVM(vm))
 	}
-	return out
+	return out, nil
 }
 
 func toHeard(p *api.Heard) fleet.Heard {
@@ -63,6 +69,7 @@
 		ChecksFencing: s.ChecksFencing,
 		State:         uint32(s.State),
 		Load:          fromLoad(s.Load),
+		Sequence:      s.Sequence,
 	}
 }
 
@@ -80,6 +87,7 @@
 		ChecksFencing: p.GetChecksFencing(),
 		State:         fleet.State(p.GetState()),
 		Load:          toLoad(p.GetLoad()),
+		Sequence:      p.GetSequence(),
 	}
 }
 
@@ -109,6 +117,7 @@
 		FailureDomain: vm.FailureDomain,
 		State:         uint32(vm.State),
 		InFlight:      int64(vm.InFlight),
+		Replica:       vm.Replica,
 	}
 }
 
@@ -120,6 +129,7 @@
 		FailureDomain: p.GetFailureDomain(),
 		State:         fleet.State(p.GetState()),
 		InFlight:      int(p.GetInFlight()),
+		Replica:       p.GetReplica(),
 	}
 }
 
--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -60,7 +60,7 @@
 	case *api.Envelope_Renew:
 		return toRenew(b.Renew), nil
 	case *api.Envelope_Grant:
-		return toGrant(b.Grant), nil
+		return toGrant(b.Grant)
 	case *api.Envelope_NotLeader:
 		return machine.NotLeader{Leader: b.NotLeader.Leader, Proposal: b.NotLeader.Proposal}, nil
 	case *api.Envelope_Propose:
@@ -166,7 +166,7 @@
 	return out
 }
 
-func toGrant(p *api.Grant) machine.Grant {
+func toGrant(p *api.Grant) (machine.Grant, error) {
 	out := machine.Grant{
 		Echo:   time.Duration(p.EchoNanos),
 		Term:   p.Term,
@@ -175,8 +175,10 @@
 		Shares: toShares(p.Shares),
 		Left:   p.Left,
 	}
-	if p.Update != nil {
-		out.Update = toUpdate(p.Update)
+	if p.Update == nil {
+		return out, nil
 	}
-	return out
+	update, err := toUpdate(p.Update)
+	out.Update = update
+	return out, err
 }
--- a/api/codec/result.go
+++ b/api/codec/result.go
@@ -17,6 +17,7 @@
 		Version:   r.Version,
 		Work:      fromWork(r.Work),
 		Authority: fromAuthorityOutcome(r.Authority),
+		Routes:    fromRoutes(r.Routes),
 	}
 	return marshal(m, MaxResultBytes)
 }
@@ -41,7 +42,11 @@
 	if err != nil {
 		return replicated.Result{}, err
 	}
-	return replicated.Result{Err: refusal, Version: m.Version, Work: work, Authority: outcome}, nil
+	document, err := toRoutes(m.Routes)
+	if err != nil {
+		return replicated.Result{}, err
+	}
+	return replicated.Result{Err: refusal, Version: m.Version, Work: work, Authority: outcome, Routes: document}, nil
 }
 
 func fromFault(e *fault.Error) *api.LogFault {
--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -18,6 +18,7 @@
 		Table:     fromTable(s.Table),
 		Ledger:    fromLedger(s.Ledger),
 		Authority: fromAuthority(s.Authority),
+		Routes:    fromRoutes(s.Routes),
 	}
 	for _, id := range sortedKeys(s.Drains) {
 		d := s.Drains[id]
@@ -89,6 +90,9 @@
 	if out.Authority, err = toAuthority(m.Authority); err != nil {
 		return none, err
 	}
+	if out.Routes, err = toRoutes(m.Routes); err != nil {
+		return none, err
+	}
 	for _, d := range m.Drains {
 		out.Drains[d.Id] = replicated.Drain{By: d.By, Since: d.SinceMs}
 	}
--- a/api/codec/wire.go
+++ b/api/codec/wire.go
@@ -13,9 +13,9 @@
 // Bounds on encoded values, in bytes.
 const (
 	// MaxCommandBytes bounds one encoded command.
-	MaxCommandBytes = 1 << 20
+	MaxCommandBytes = 16 << 20
 	// MaxResultBytes bounds one encoded result.
-	MaxResultBytes = 1 << 20
+	MaxResultBytes = 16 << 20
 	// MaxSnapshotBytes bounds one encoded snapshot.
 	MaxSnapshotBytes = 256 << 20
 )
--- a/cmd/wagtaildyke/serve.go
+++ b/cmd/wagtaildyke/serve.go
@@ -15,8 +15,14 @@
 
 const settingsFlag = "settings"
 
+// settingsVariable names the environment variable that may hold the settings file.
+const settingsVariable = "WAGTAILDYKE_SETTINGS"
+
 func settingsFileFlag() cli.Flag {
-	return &cli.StringFlag{Name: settingsFlag, Required: true, Usage: "settings `file` of this VM, JSON with comments"}
+	return &cli.StringFlag{
+		Name: settingsFlag, Required: true, Usage: "settings `file` of this VM, JSON with comments",
+		Sources: cli.EnvVars(settingsVariable),
+	}
 }
 
 func serveCommand() *cli.Command {
@@ -26,15 +32,7 @@
 		Description: "Example: wagtaildyke serve --settings vm-1.jsonc\n\nSIGTERM stops it gracefully: no request is cut, and it exits with 0.",
 		Flags:       []cli.Flag{settingsFileFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := settings.Load(c.String(settingsFlag))
-			if err != nil {
-				return err
-			}
-			p, err := root.Open(s, newLogger(stderr(c), s.Log))
-			if err != nil {
-				return err
-			}
-			return p.Serve(ctx)
+			return serve(ctx, c.String(settingsFlag), stdout(c))
 		},
 	}
 }
--- a/root/control/control.go
+++ b/root/control/control.go
@@ -16,7 +16,7 @@
 
 // passive are the decision packages that the control thread calls.
 var passive = []string{
-	"machine", "consensus", "replicated", "table", "ledger", "authority", "fleet", "roles", "view",
+	"machine", "consensus", "replicated", "table", "routes", "ledger", "authority", "fleet", "roles", "view",
 }
 
 // Timing of the replicated log for VMs a few milliseconds apart.
--- a/root/control/fleet/fleet.go
+++ b/root/control/fleet/fleet.go
@@ -69,6 +69,18 @@
 	ChecksFencing bool
 	State         State
 	Load          Load
+	// Sequence orders the announcements of one incarnation; 0 when they are not
+	// numbered and the time of arrival decides.
+	Sequence uint64
+}
+
+// Follows reports whether the announcement s may replace an earlier one of the
+// same server.
+func (s Server) Follows(old Server) bool {
+	if s.Incarnation != old.Incarnation {
+		return s.Incarnation > old.Incarnation
+	}
+	return s.Sequence >= old.Sequence
 }
 
 // VM is one VM of the system.
@@ -83,4 +95,6 @@
 	State         State
 	// InFlight counts callers' requests being served.
 	InFlight int
+	// Replica says that the VM runs a replica of the log.
+	Replica bool
 }
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -13,6 +13,16 @@
 	SuspectAfter time.Duration
 	// RemoveAfter is the silence after which a member is forgotten.
 	RemoveAfter time.Duration
+	// VMSuspectAfter is SuspectAfter for VMs; 0 means the same.
+	VMSuspectAfter time.Duration
+}
+
+// vmSuspectAfter is the silence after which a VM receives no new work.
+func (t Timing) vmSuspectAfter() time.Duration {
+	if t.VMSuspectAfter > 0 {
+		return t.VMSuspectAfter
+	}
+	return t.SuspectAfter
 }
 
 // Tracker is the leader's soft picture of VMs and backend servers. It is
@@ -61,8 +71,12 @@
 
 // HearServer records an announcement heard at the given time and reports
 // whether anything but the load changed. An older incarnation is ignored, and
-// so is an older announcement of the same incarnation.
+// so is an older announcement of the same incarnation, or one at an address at
+// which a later start has announced itself.
 func (t *Tracker) HearServer(s Server, heardAt time.Time) bool {
+	if !t.claimAddress(s) {
+		return false
+	}
 	e := t.servers[s.ID]
 	if e == nil {
 		t.servers[s.ID] = &serverEntry{server: s, lastHeard: heardAt, running: map[string]OwnLoad{}}
@@ -81,12 +95,34 @@
 	return changed
 }
 
+// claimAddress forgets a server that ended at the address where s started later.
+// It reports false when s itself is the earlier one. A change of incarnation
+// orders servers of different ids only where incarnations are start times.
+func (t *Tracker) claimAddress(s Server) bool {
+	if s.Address == "" || s.Sequence == 0 {
+		return true
+	}
+	for id, e := range t.servers {
+		if id == s.ID || e.server.Address != s.Address {
+			continue
+		}
+		if e.server.Incarnation > s.Incarnation {
+			return false
+		}
+		delete(t.servers, id)
+	}
+	return true
+}
+
 // accepts reports whether an announcement of the current incarnation is news.
 // Leaving is final for an incarnation.
 func (e *serverEntry) accepts(s Server, heardAt time.Time) bool {
 	if e.server.State == Leaving {
 		return false
 	}
+	if s.Sequence > 0 {
+		return s.Sequence > e.server.Sequence || s.Sequence == e.server.Sequence && e.seeded
+	}
 	return s.State == Leaving || e.seeded || heardAt.After(e.lastHeard)
 }
 
@@ -151,7 +187,7 @@
 		case silent >= t.timing.RemoveAfter:
 			t.Forget(id)
 			changed = true
-		case silent >= t.timing.SuspectAfter && e.vm.State == Active:
+		case silent >= t.timing.vmSuspectAfter() && e.vm.State == Active:
 			e.vm.State = Suspected
 			changed = true
 		}
--- a/root/control/loop/inbox.go
+++ b/root/control/loop/inbox.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 )
 
@@ -31,8 +32,11 @@
 // it says is said again within a renew or heartbeat interval.
 func isSoft(ev machine.Event) bool {
 	switch ev := ev.(type) {
-	case machine.Announced, machine.Traffic:
+	case machine.Traffic:
 		return true
+	case machine.Announced:
+		// The end of a server's work is acknowledged to it once it was taken.
+		return ev.Server.State == fleet.Active
 	case machine.Received:
 		return isSoftMessage(ev.Message)
 	default:
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -30,7 +30,13 @@
 	LedgerTick time.Duration
 	// MaxClockDrift bounds the relative rate of two clocks, such as 0.01 for 1%.
 	MaxClockDrift float64
-	Fleet         fleet.Timing
+	// FleetSettle is how long a leader that took over without a view waits for
+	// announcements before its picture of the fleet counts as whole.
+	FleetSettle time.Duration
+	// ReplicaRemoveAfter is the silence after which a voter is taken out of an
+	// open membership, as long as three others are left.
+	ReplicaRemoveAfter time.Duration
+	Fleet              fleet.Timing
 }
 
 // DefaultTiming returns the timing for VMs a few milliseconds apart.
@@ -46,6 +52,9 @@
 		PushInterval:   50 * time.Millisecond,
 		LedgerTick:     time.Minute,
 		MaxClockDrift:  0.01,
+		// Backend servers announce themselves every second.
+		FleetSettle:        2500 * time.Millisecond,
+		ReplicaRemoveAfter: 12 * time.Second,
 		Fleet: fleet.Timing{
 			// A server that announced itself at an entry that was cut off turns to
 			// another once the entry's lease has run out and its next turn comes.
@@ -67,9 +76,13 @@
 type Config struct {
 	// Self is this VM; Address is empty without an entry part.
 	Self fleet.VM
-	// Replicas are the VMs whose settings say that they run a replica.
+	// Replicas are the VMs that are known from the settings to run a replica.
 	Replicas []string
-	Timing   Timing
+	// OpenMembership lets replicas take part that Replicas does not name.
+	OpenMembership bool
+	// LeaseOptional lets this entry go on by its last view without a lease.
+	LeaseOptional bool
+	Timing        Timing
 	// CompactEvery is the number of applied entries between snapshots.
 	CompactEvery uint64
 }
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -31,6 +31,8 @@
 	switch cmd := msg.Command.(type) {
 	case replicated.RecordOrder:
 		l.orders.request(p, cmd)
+	case replicated.ReadRoutes:
+		l.read(p)
 	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.Tick:
 		l.answer(p, replicated.Result{Err: fault.New(fault.Invalid, part, "only the leader makes this command")})
 	default:
@@ -49,6 +51,11 @@
 			return true
 		}
 	}
+	for _, r := range l.reads {
+		if r.vm == p.vm && r.id == p.id {
+			return true
+		}
+	}
 	return l.orders.isPending(p)
 }
 
@@ -88,7 +95,7 @@
 	case replicated.ChangeTable:
 		l.tableChanged(p, mine, result)
 		return
-	case replicated.SetDrain, replicated.SetFencing:
+	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes:
 		l.rebuild()
 	}
 	l.orders.applied(cmd, result)
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -39,6 +39,11 @@
 	loadsAt time.Time
 	orders  *orders
 	shares  *shares
+	// partialUntil is when the picture of the fleet counts as whole.
+	partialUntil time.Time
+	// reads holds the linearizable reads that wait for the log.
+	reads    map[uint64]proposer
+	lastRead uint64
 }
 
 // leaseHolder is a process that holds a view lease.
@@ -64,6 +69,7 @@
 		holders:  map[string]*leaseHolder{},
 		leaving:  map[string]uint64{},
 		waiting:  map[uint64]proposer{},
+		reads:    map[uint64]proposer{},
 		sweepAt:  m.now.Add(m.cfg.Timing.LeaderSweep),
 		ledgerAt: m.now.Add(m.cfg.Timing.LedgerTick),
 	}
@@ -71,6 +77,10 @@
 	// stands until reports confirm it or silence ends it.
 	before := m.member.current
 	l.fleet.Seed(before.Servers, before.VMs, m.now)
+	if len(before.Servers) == 0 {
+		l.partialUntil = m.now.Add(m.cfg.Timing.FleetSettle)
+		l.journal.SetPartial(true)
+	}
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
 	l.rebuild()
@@ -110,7 +120,7 @@
 // refresh makes a new view without pushing it: entries fetch it as they renew.
 func (l *leader) refresh() bool {
 	l.loadsAt = l.m.now.Add(l.m.cfg.Timing.RenewInterval)
-	changed := l.journal.Set(l.r.state.Table(), l.serversInView(), l.vmsInView())
+	changed := l.journal.Set(l.r.state.Table(), l.r.state.Routes(), l.serversInView(), l.vmsInView())
 	for _, vm := range l.journal.Current().VMs {
 		if _, known := l.leaving[vm.ID]; !known && vm.State == fleet.Leaving {
 			l.leaving[vm.ID] = l.seq()
@@ -246,6 +256,8 @@
 		return
 	}
 	l.sweepAt = now.Add(l.m.cfg.Timing.LeaderSweep)
+	l.settle()
+	l.dropSilentMember()
 	if l.fleet.Expire(now) {
 		l.rebuild()
 	}
@@ -274,13 +286,40 @@
 	}
 }
 
-// readDone is unused by commands that go through the log.
-func (l *leader) readDone(consensus.ReadResult) {}
+// settle ends the time in which the picture of the fleet may lack members.
+func (l *leader) settle() {
+	if l.partialUntil.IsZero() || l.m.now.Before(l.partialUntil) {
+		return
+	}
+	l.partialUntil = time.Time{}
+	l.journal.SetPartial(false)
+	l.rebuild()
+}
+
+// read answers a read of the routes once this leader is known to lead still.
+func (l *leader) read(p proposer) {
+	l.lastRead++
+	l.reads[l.lastRead] = p
+	l.r.core.Read(l.m.now, l.lastRead)
+}
+
+func (l *leader) readDone(res consensus.ReadResult) {
+	p, known := l.reads[res.ID]
+	if !known {
+		return
+	}
+	delete(l.reads, res.ID)
+	if res.Failed || l.r.applied < res.Index {
+		l.m.send(p.vm, NotLeader{Proposal: p.id})
+		return
+	}
+	l.answer(p, l.r.state.ReadRoutes())
+}
 
 // repairMembers brings a replica that returned without its disk back as a
 // learner, takes out its old identity, and promotes it once it has caught up.
 func (l *leader) repairMembers(vm string, id consensus.NodeID) {
-	if id == "" || !slices.Contains(l.m.cfg.Replicas, vm) {
+	if id == "" || !l.m.cfg.OpenMembership && !slices.Contains(l.m.cfg.Replicas, vm) {
 		return
 	}
 	st := l.r.core.Status()
@@ -295,6 +334,40 @@
 	_ = l.r.core.ChangeMembers(l.m.now, next)
 }
 
+// minVoters is the number of voters below which silence removes none: one of
+// three may be lost.
+const minVoters = 3
+
+// dropSilentMember takes one replica out of an open membership that has been
+// silent for long, so that replicas gone for good don't weigh on the quorum.
+// One that returns joins again.
+func (l *leader) dropSilentMember() {
+	if !l.m.cfg.OpenMembership || l.m.now.Sub(l.since) < l.m.cfg.Timing.ReplicaRemoveAfter {
+		return
+	}
+	cur := l.r.core.Status().Members
+	next := consensus.Members{Voters: slices.Clone(cur.Voters), Learners: slices.Clone(cur.Learners)}
+	if i := slices.IndexFunc(next.Learners, l.isSilent); i >= 0 {
+		next.Learners = slices.Delete(next.Learners, i, i+1)
+	} else if i := slices.IndexFunc(next.Voters, l.isSilent); i >= 0 && len(next.Voters) > minVoters {
+		next.Voters = slices.Delete(next.Voters, i, i+1)
+	} else {
+		return
+	}
+	// A change refused now is tried again at the next sweep.
+	_ = l.r.core.ChangeMembers(l.m.now, next)
+}
+
+// isSilent reports whether no process of the replica's VM was heard for long.
+func (l *leader) isSilent(id consensus.NodeID) bool {
+	h := l.holders[VMOf(id)]
+	if h == nil {
+		return VMOf(id) != l.m.cfg.Self.ID
+	}
+	heard := h.until.Add(-l.m.cfg.Timing.ViewLease)
+	return l.m.now.Sub(heard) >= l.m.cfg.Timing.ReplicaRemoveAfter
+}
+
 // nextMembers returns the next single change towards vm taking part as id.
 func nextMembers(cur consensus.Members, vm string, id consensus.NodeID) (consensus.Members, bool) {
 	next := consensus.Members{
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -65,6 +65,8 @@
 	case Wake:
 	case Received:
 		m.receive(ev.From, ev.Message)
+	case Seeds:
+		m.cfg.Replicas = ev.VMs
 	case Announced:
 		m.member.announced(ev.Server)
 	case Submit:
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -34,13 +34,13 @@
 }
 
 func newMember(m *Machine) *member {
-	return &member{m: m, heard: map[string]heard{}, nextRenew: m.now, current: &view.View{}}
+	return &member{m: m, heard: map[string]heard{}, nextRenew: m.now, current: &view.View{LeaseOptional: m.cfg.LeaseOptional}}
 }
 
 // announced records a backend server's announcement. News travels at once.
 func (b *member) announced(s fleet.Server) {
 	old, known := b.heard[s.ID]
-	if known && s.Incarnation < old.server.Incarnation {
+	if known && !s.Follows(old.server) {
 		return
 	}
 	b.heard[s.ID] = heard{server: s, at: b.m.now}
@@ -55,6 +55,8 @@
 	b.state = fleet.Leaving
 	b.nextRenew = b.m.now
 	switch phase {
+	case StopLeaving:
+		b.publish(func(v *view.View) { v.Leaving = true })
 	case StopRefusing:
 		b.publish(func(v *view.View) { v.Stopping = true })
 	case StopDone:
@@ -99,6 +101,7 @@
 	vm := b.m.cfg.Self
 	vm.State = b.shownState()
 	vm.InFlight = b.own.InFlight
+	vm.Replica = b.m.replica != nil
 	return Renew{
 		VM:           vm,
 		SentAt:       b.m.now.Sub(b.m.started),
@@ -146,7 +149,7 @@
 }
 
 func (b *member) tryNextReplica() {
-	all := b.m.cfg.Replicas
+	all := b.replicas()
 	if len(all) == 0 {
 		return
 	}
@@ -154,6 +157,18 @@
 	b.leader = all[(i+1)%len(all)]
 }
 
+// replicas returns the VMs that may lead: those of the settings, then those of
+// the view.
+func (b *member) replicas() []string {
+	out := slices.Clone(b.m.cfg.Replicas)
+	for _, vm := range b.current.VMs {
+		if vm.Replica && !slices.Contains(out, vm.ID) {
+			out = append(out, vm.ID)
+		}
+	}
+	return out
+}
+
 func (b *member) notLeader(from string, msg NotLeader) {
 	if from != b.leader {
 		return
@@ -198,7 +213,7 @@
 func (b *member) adopt(u *view.Update) {
 	cur := b.current
 	if !b.m.keeps(ruleViewOrder) {
-		cur = &view.View{LeaseUntil: cur.LeaseUntil, Stopping: cur.Stopping}
+		cur = &view.View{LeaseUntil: cur.LeaseUntil, LeaseOptional: cur.LeaseOptional, Leaving: cur.Leaving, Stopping: cur.Stopping}
 	}
 	next, ok := u.Apply(cur)
 	if !ok {
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -95,6 +95,9 @@
 	Message Message
 }
 
+// Seeds names the VMs that are known from changed settings to run a replica.
+type Seeds struct{ VMs []string }
+
 // Announced is an announcement of a backend server to this process.
 type Announced struct{ Server fleet.Server }
 
@@ -143,6 +146,7 @@
 func (Wake) event()      {}
 func (Received) event()  {}
 func (Announced) event() {}
+func (Seeds) event()     {}
 func (Submit) event()    {}
 func (Traffic) event()   {}
 func (Persisted) event() {}
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -6,6 +6,7 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 )
 
 // Result answers one command.
@@ -21,6 +22,8 @@
 	// Authority answers the commands of the authority. It is nil when the command
 	// was refused.
 	Authority *authority.Outcome
+	// Routes answers ReadRoutes; nil before the first document.
+	Routes *routes.Document
 }
 
 // Apply carries out the command of one log entry. The result depends on the
@@ -143,6 +146,18 @@
 	return Result{}
 }
 
+func (c ReplaceRoutes) apply(s *State, _ int64) Result {
+	r := s.routes.Replace(c.Document)
+	return Result{Err: r.Err, Version: r.Version}
+}
+
+func (ReadRoutes) apply(s *State, _ int64) Result { return s.ReadRoutes() }
+
+// ReadRoutes returns the result of ReadRoutes as of now.
+func (s *State) ReadRoutes() Result {
+	return Result{Version: s.routes.Version(), Routes: s.routes.Document()}
+}
+
 func (c Tick) apply(*State, int64) Result { return Result{} }
 
 func checkSetting(id, by string) *fault.Error {
--- a/root/control/replicated/command.go
+++ b/root/control/replicated/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
 
@@ -69,6 +70,21 @@
 	At int64
 }
 
+// ReplaceRoutes puts a document of routes in force when its version is the
+// highest so far.
+type ReplaceRoutes struct {
+	Document *routes.Document
+	// At is Unix milliseconds.
+	At int64
+}
+
+// ReadRoutes asks for the document of routes in force. The leader answers it
+// as a linearizable read, without an entry in the log.
+type ReadRoutes struct {
+	// At is Unix milliseconds.
+	At int64
+}
+
 // Tick moves the time on, so that retentions run out without other commands.
 type Tick struct {
 	// At is Unix milliseconds.
@@ -92,6 +108,8 @@
 func (c SetDrain) at() int64         { return c.At }
 func (c SetFencing) at() int64       { return c.At }
 func (c Tick) at() int64             { return c.At }
+func (c ReplaceRoutes) at() int64    { return c.At }
+func (c ReadRoutes) at() int64       { return c.At }
 
 func (c ChangeTable) stamped(at int64) Command {
 	c.At = at
@@ -153,6 +171,16 @@
 	return c
 }
 
+func (c ReplaceRoutes) stamped(at int64) Command {
+	c.At = at
+	return c
+}
+
+func (c ReadRoutes) stamped(at int64) Command {
+	c.At = at
+	return c
+}
+
 func (c Tick) stamped(at int64) Command {
 	c.At = at
 	return c
--- a/root/control/replicated/state.go
+++ b/root/control/replicated/state.go
@@ -4,6 +4,7 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
 
@@ -39,6 +40,7 @@
 	// drains and fencing are replaced, never changed in place.
 	drains  map[string]Drain
 	fencing map[string]FencingSetting
+	routes  *routes.State
 }
 
 // New returns the state before the first command.
@@ -63,6 +65,7 @@
 		authority: authority.New(),
 		drains:    make(map[string]Drain),
 		fencing:   make(map[string]FencingSetting),
+		routes:    new(routes.State),
 	}, nil
 }
 
@@ -93,6 +96,9 @@
 	return out
 }
 
+// Routes returns the document of routes in force; nil before the first one.
+func (s *State) Routes() *routes.Document { return s.routes.Document() }
+
 // Ledger returns the ledger for reading.
 func (s *State) Ledger() *ledger.Ledger { return s.ledger }
 
@@ -111,6 +117,8 @@
 	Authority authority.Snapshot
 	Drains    map[string]Drain
 	Fencing   map[string]FencingSetting
+	// Routes is nil before the first document.
+	Routes *routes.Document
 }
 
 // Snapshot returns the state at this moment. Later commands don't affect it.
@@ -123,6 +131,7 @@
 		Authority: s.authority.Snapshot(),
 		Drains:    s.drains,
 		Fencing:   s.fencing,
+		Routes:    s.routes.Document(),
 	}
 }
 
@@ -144,7 +153,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &State{index: snap.Index, now: snap.Now, table: t, ledger: l, authority: a}
+	r, err := routes.Restore(snap.Routes)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{index: snap.Index, now: snap.Now, table: t, ledger: l, authority: a, routes: r}
 	s.drains = orEmpty(snap.Drains)
 	s.fencing = orEmpty(snap.Fencing)
 	return s, nil
--- a/root/control/view/journal.go
+++ b/root/control/view/journal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
 
@@ -19,10 +20,13 @@
 // Journal keeps the present view of one term and when each part of it last
 // changed, so that an update from any earlier sequence can be made.
 type Journal struct {
-	current   *View
-	servers   map[string]uint64
-	vms       map[string]uint64
-	tableAt   uint64
+	current  *View
+	servers  map[string]uint64
+	vms      map[string]uint64
+	tableAt  uint64
+	routesAt uint64
+	// partial is set while members may be missing.
+	partial   bool
 	removed   []removal
 	forgotten uint64
 }
@@ -42,15 +46,32 @@
 // Current returns the present view. It must not be changed.
 func (j *Journal) Current() *View { return j.current }
 
+// SetPartial says whether members may be missing from the view. Once none are
+// missing any more, every follower gets a whole view.
+func (j *Journal) SetPartial(partial bool) {
+	if j.partial && !partial {
+		whole := *j.current
+		whole.Seq++
+		j.forgotten = j.current.Seq
+		j.current = &whole
+	}
+	j.partial = partial
+}
+
 // Set makes a new view of sorted members and reports whether anything changed.
-func (j *Journal) Set(t table.Table, servers []fleet.Server, vms []fleet.VM) bool {
+func (j *Journal) Set(t table.Table, r *routes.Document, servers []fleet.Server, vms []fleet.VM) bool {
 	seq := j.current.Seq + 1
-	next := &View{Term: j.current.Term, Seq: seq, Table: t, Servers: servers, VMs: vms}
+	next := &View{Term: j.current.Term, Seq: seq, Table: t, Routes: j.current.Routes, Servers: servers, VMs: vms}
 	changed := j.current.Seq == 0
 	if changed || t.Version != j.current.Table.Version {
 		j.tableAt = seq
 		changed = true
 	}
+	if r != nil && (next.Routes == nil || r.Version != next.Routes.Version) {
+		next.Routes = withoutSource(r)
+		j.routesAt = seq
+		changed = true
+	}
 	changed = mark(j, j.servers, j.current.Servers, servers, serverID, sameServer, false) || changed
 	changed = mark(j, j.vms, j.current.VMs, vms, vmID, sameVM, true) || changed
 	if changed {
@@ -59,6 +80,13 @@
 	return changed
 }
 
+// withoutSource returns the document as views carry it.
+func withoutSource(d *routes.Document) *routes.Document {
+	out := *d
+	out.Source = nil
+	return &out
+}
+
 // mark notes which members of a list changed at the next sequence.
 func mark[T any](
 	j *Journal, at map[string]uint64, old, next []T, id func(T) string, same func(a, b T) bool, vm bool,
@@ -118,9 +146,14 @@
 // Since returns the update from a sequence of this term; 0 asks for all of it.
 func (j *Journal) Since(seq uint64) *Update {
 	if seq == 0 || seq <= j.forgotten || seq > j.current.Seq {
-		return Whole(j.current)
+		u := Whole(j.current)
+		u.Partial = j.partial
+		return u
 	}
 	u := &Update{Term: j.current.Term, Base: seq, Seq: j.current.Seq}
+	if j.routesAt > seq {
+		u.Routes = j.current.Routes
+	}
 	if j.tableAt > seq {
 		t := j.current.Table
 		u.Table = &t
--- a/root/control/view/update.go
+++ b/root/control/view/update.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
 
@@ -14,6 +15,11 @@
 	Term, Base, Seq uint64
 	// Table is nil when it has not changed since Base.
 	Table *table.Table
+	// Routes is nil when they have not changed since Base.
+	Routes *routes.Document
+	// Partial says that the sender may not know all servers and VMs yet: those
+	// that it does not name stay.
+	Partial bool
 	// Servers and VMs are those changed since Base; the removed ones are named.
 	Servers        []fleet.Server
 	VMs            []fleet.VM
@@ -24,22 +30,19 @@
 // Whole returns the update that stands for all of v.
 func Whole(v *View) *Update {
 	t := v.Table
-	return &Update{Term: v.Term, Seq: v.Seq, Table: &t, Servers: v.Servers, VMs: v.VMs}
+	return &Update{Term: v.Term, Seq: v.Seq, Table: &t, Routes: v.Routes, Servers: v.Servers, VMs: v.VMs}
 }
 
 // Apply returns the view after the update. It reports false when the update is
 // no news, or starts from a view that cur has not reached.
 func (u *Update) Apply(cur *View) (*View, bool) {
-	next := &View{Term: u.Term, Seq: u.Seq, LeaseUntil: cur.LeaseUntil, Left: cur.Left, Stopping: cur.Stopping}
+	next := &View{Term: u.Term, Seq: u.Seq, LeaseUntil: cur.LeaseUntil, LeaseOptional: cur.LeaseOptional, Left: cur.Left, Leaving: cur.Leaving, Stopping: cur.Stopping}
 	if !next.Newer(cur) {
 		return nil, false
 	}
+	next.Routes = newerRoutes(cur.Routes, u.Routes)
 	if u.Base == 0 {
-		if u.Table != nil {
-			next.Table = *u.Table
-		}
-		next.Servers = u.Servers
-		next.VMs = u.VMs
+		u.applyWhole(cur, next)
 		return next, true
 	}
 	if u.Term != cur.Term || cur.Seq < u.Base {
@@ -54,6 +57,28 @@
 	return next, true
 }
 
+// applyWhole fills in the members of a whole view.
+func (u *Update) applyWhole(cur, next *View) {
+	if u.Table != nil {
+		next.Table = *u.Table
+	}
+	if !u.Partial {
+		next.Servers = u.Servers
+		next.VMs = u.VMs
+		return
+	}
+	next.Servers = merge(cur.Servers, u.Servers, nil, serverID)
+	next.VMs = merge(cur.VMs, u.VMs, nil, vmID)
+}
+
+// newerRoutes never goes back to an older document.
+func newerRoutes(cur, next *routes.Document) *routes.Document {
+	if next == nil || (cur != nil && cur.Version >= next.Version) {
+		return cur
+	}
+	return next
+}
+
 func serverID(s fleet.Server) string { return s.ID }
 
 func vmID(v fleet.VM) string { return v.ID }
--- a/root/control/view/view.go
+++ b/root/control/view/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
 
@@ -15,19 +16,30 @@
 	// Term and Seq order views: a later term wins, then a later sequence.
 	Term, Seq uint64
 	Table     table.Table
-	Servers   []fleet.Server
-	VMs       []fleet.VM
+	// Routes is nil before the first document of routes; it has no source.
+	Routes  *routes.Document
+	Servers []fleet.Server
+	VMs     []fleet.VM
 	// LeaseUntil is the local time after which no new work may start.
 	LeaseUntil time.Time
+	// LeaseOptional says that new work may also start without a live lease.
+	LeaseOptional bool
 	// Left is set once no entry gives this process's address to callers any more.
 	Left bool
+	// Leaving is set once this process wants no new callers.
+	Leaving bool
 	// Stopping is set once this process has begun its graceful stop.
 	Stopping bool
 }
 
 // Ready reports whether new work may start at the given time.
 func (v *View) Ready(now time.Time) bool {
-	return v != nil && !v.Stopping && now.Before(v.LeaseUntil)
+	return v != nil && !v.Stopping && v.InForce(now)
+}
+
+// InForce reports whether this process may act by the view at the given time.
+func (v *View) InForce(now time.Time) bool {
+	return now.Before(v.LeaseUntil) || v.LeaseOptional && v.Term > 0
 }
 
 // Newer reports whether v comes after other.
--- a/root/fronts.go
+++ b/root/fronts.go
@@ -20,6 +20,11 @@
 func (p *Process) buildFronts() error {
 	recorder := burn.New(burn.Options{VM: p.settings.VM, Views: p.views})
 	p.recorder.Store(recorder)
+	if p.settings.Platform != nil {
+		p.buildPlatform()
+	} else {
+		p.tree.Passive("gateway")
+	}
 	if p.settings.Entry != nil {
 		p.traffic = traffic.New(p.trafficOptions(recorder))
 	}
@@ -78,6 +83,8 @@
 	Dispatch      dispatch.Stats `json:"dispatch"`
 	Engine        engine.Stats   `json:"engine"`
 	InFlight      int            `json:"in_flight"`
+
+	Transport engine.TransportStats `json:"transport"`
 }
 
 // viewMetrics describe the view in force at this process.
@@ -107,6 +114,10 @@
 		out.Engine = p.traffic.Engine.Stats()
 		out.InFlight = p.traffic.Handler.InFlight()
 	}
+	if p.routed != nil {
+		out.Transport = p.routed.Transport.Stats()
+		out.InFlight = p.routed.InFlight()
+	}
 	return out
 }
 
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/sockets"
 )
 
 // Bounds on redialling a peer.
@@ -22,6 +23,14 @@
 	dialTimeout = 2 * time.Second
 	redialFirst = 50 * time.Millisecond
 	redialMost  = 1 * time.Second
+	// silence is how long a peer may acknowledge nothing: half the time in which
+	// a change must reach every entry.
+	silence = 1500 * time.Millisecond
+	// crossedDials is the time within which two sessions of one pair were opened
+	// by both sides at once.
+	crossedDials = 2 * time.Second
+	// staleQueue is the age past which what waits for a session is out of date.
+	staleQueue = 2 * time.Second
 )
 
 // Peer is another process to dial.
@@ -40,6 +49,8 @@
 	deliver Deliver
 	log     logr.Logger
 	dialer  Dialer
+	// need asks for a session to a peer; nil where all peers are dialled anyway.
+	need func(vm string)
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -53,8 +64,7 @@
 
 // PlainDialer dials TCP without TLS.
 func PlainDialer(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", address)
+	return sockets.Dialer(dialTimeout, silence).DialContext(ctx, "tcp", address)
 }
 
 // New returns a mesh without sessions.
@@ -78,24 +88,34 @@
 		return
 	}
 	m.sentBytes.Add(uint64(len(frame)))
-	m.queue(to).push(frame)
+	q, live := m.queue(to)
+	q.push(frame)
+	if !live && m.need != nil {
+		m.need(to)
+	}
 }
 
-func (m *Mesh) queue(peer string) *queue {
+// queue returns the queue to a peer and whether a session takes from it.
+func (m *Mesh) queue(peer string) (*queue, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	q := m.queues[peer]
-	if q == nil {
+	live := m.live[peer] != nil
+	if q == nil || !live && time.Since(q.made) > staleQueue {
 		q = newQueue()
 		m.queues[peer] = q
 	}
-	return q
+	return q, live
 }
 
 // serve runs one session. A newer session replaces an older one to the same peer.
 func (m *Mesh) serve(ctx context.Context, s *session) error {
 	id := s.peer.VM
-	q := m.replace(id, s)
+	q, ok := m.replace(id, s)
+	if !ok {
+		s.mux.Close()
+		return errors.New("a session opened by the other side at the same time is kept")
+	}
 	defer m.remove(id, s)
 	m.log.V(1).Info("session opened", "peer", id)
 	err := s.run(ctx, q, func(frame []byte) { m.received(ctx, id, frame) })
@@ -103,18 +123,26 @@
 	return err
 }
 
-// replace makes s the session to a peer. The queue starts empty: what waited
-// for the old session is out of date.
-func (m *Mesh) replace(id string, s *session) *queue {
+// replace makes s the session to a peer, unless both sides opened one at the
+// same time: then that of the smaller id stays. The queue keeps only what waits
+// for a first session: what waited for an earlier one is out of date.
+func (m *Mesh) replace(id string, s *session) (*queue, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old := m.live[id]; old != nil {
+	old := m.live[id]
+	if old != nil && old.crosses(s) && old.opener < s.opener {
+		return nil, false
+	}
+	if old != nil {
 		old.mux.Close()
 	}
 	m.live[id] = s
-	q := newQueue()
-	m.queues[id] = q
-	return q
+	q := m.queues[id]
+	if old != nil || q == nil || time.Since(q.made) > staleQueue {
+		q = newQueue()
+		m.queues[id] = q
+	}
+	return q, true
 }
 
 func (m *Mesh) remove(id string, s *session) {
@@ -234,6 +262,9 @@
 }
 
 func (a *Acceptor) handle(ctx context.Context, conn net.Conn) {
+	if err := sockets.Tune(conn, silence); err != nil {
+		a.mesh.log.Error(err, "can't set options of a connection", "remote", conn.RemoteAddr().String())
+	}
 	s, err := accept(conn, a.mesh.own)
 	if err != nil {
 		conn.Close()
--- a/root/peers/queue.go
+++ b/root/peers/queue.go
@@ -1,6 +1,9 @@
 package peers
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Queue sizes per peer in frames. A full queue drops its newest frame: every
 // message is sent again by its own timer.
@@ -17,10 +20,11 @@
 type queue struct {
 	urgent, bulk chan []byte
 	dropped      atomic.Uint64
+	made         time.Time
 }
 
 func newQueue() *queue {
-	return &queue{urgent: make(chan []byte, urgentQueue), bulk: make(chan []byte, bulkQueue)}
+	return &queue{urgent: make(chan []byte, urgentQueue), bulk: make(chan []byte, bulkQueue), made: time.Now()}
 }
 
 func (q *queue) push(frame []byte) {
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -16,8 +16,8 @@
 // Bounds of a session.
 const (
 	helloTimeout  = 3 * time.Second
-	writeTimeout  = 5 * time.Second
-	keepAlive     = 2 * time.Second
+	writeTimeout  = 2 * time.Second
+	keepAlive     = 1 * time.Second
 	streamsPerWay = 2
 	readBuffer    = 64 << 10
 )
@@ -35,9 +35,12 @@
 
 // session is one connection to a peer: an urgent and a bulk stream.
 type session struct {
-	mux   *yamux.Session
-	peer  codec.Hello
-	lines [streamsPerWay]*line
+	mux  *yamux.Session
+	peer codec.Hello
+	// opener is the VM that dialled.
+	opener string
+	opened time.Time
+	lines  [streamsPerWay]*line
 }
 
 // line is one stream with its buffered reader, which outlives the hello.
@@ -56,7 +59,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return handshake(mux, own, mux.Open)
+	s, err := handshake(mux, own, mux.Open)
+	if err == nil {
+		s.opener = own.VM
+	}
+	return s, err
 }
 
 // accept starts a session on an incoming connection.
@@ -65,13 +72,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return handshake(mux, own, mux.Accept)
+	s, err := handshake(mux, own, mux.Accept)
+	if err == nil {
+		s.opener = s.peer.VM
+	}
+	return s, err
 }
 
 func handshake(mux *yamux.Session, own codec.Hello, next func() (net.Conn, error)) (*session, error) {
 	timer := time.AfterFunc(helloTimeout, func() { mux.Close() })
 	defer timer.Stop()
-	s := &session{mux: mux}
+	s := &session{mux: mux, opened: time.Now()}
 	for i := range s.lines {
 		l, hello, err := greet(own, next)
 		if err != nil {
@@ -84,6 +95,13 @@
 	return s, nil
 }
 
+// crosses reports whether both sides of one pair of processes opened s and
+// other at about the same time.
+func (s *session) crosses(other *session) bool {
+	return s.peer.Incarnation == other.peer.Incarnation && s.opener != other.opener &&
+		other.opened.Sub(s.opened) < crossedDials
+}
+
 func greet(own codec.Hello, next func() (net.Conn, error)) (*line, codec.Hello, error) {
 	conn, err := next()
 	if err != nil {
--- a/root/process.go
+++ b/root/process.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	mesh        *peers.Mesh
 	dispatcher  *dispatch.Dispatcher
 	traffic     *traffic.Traffic
+	routed      *traffic.Routed
 	store       *storage.Store
 	writer      *storage.Writer
 	orders      *orders.Sender
@@ -66,6 +68,7 @@
 // error at start. Entry is nil without an entry part.
 type Listeners struct {
 	Peers, Entry, Operator net.Listener
+	Platform               PlatformListeners
 }
 
 // Listen binds the listeners that the settings name.
@@ -82,7 +85,12 @@
 		return l, err
 	}
 	if s.Entry != nil {
-		l.Entry, err = listen("entry", s.Entry.Listen)
+		if l.Entry, err = listen("entry", s.Entry.Listen); err != nil {
+			return l, err
+		}
+	}
+	if s.Platform != nil {
+		l.Platform, err = listenPlatform(s.Platform)
 	}
 	return l, err
 }
@@ -97,7 +105,7 @@
 
 // Close closes the listeners that are bound.
 func (l Listeners) Close() {
-	for _, ln := range []net.Listener{l.Peers, l.Entry, l.Operator} {
+	for _, ln := range append(l.Platform.all(), l.Peers, l.Entry, l.Operator) {
 		if ln != nil {
 			ln.Close()
 		}
@@ -171,7 +179,7 @@
 	}
 	store, restored, id, err := storage.Open(p.settings.Replica.DataFolder, storage.Options{
 		Cluster:    p.settings.Cluster,
-		NewReplica: consensus.NodeID(p.settings.VM + "/" + randomID()),
+		NewReplica: p.newIdentity(),
 	})
 	if err != nil {
 		return nil, err
@@ -189,6 +197,18 @@
 	return &control.ReplicaOptions{ID: id.Replica, Restored: restored, Bootstrap: p.bootstrap(id.Replica)}, nil
 }
 
+// newIdentity is the identity for an empty data folder: a founding one where the
+// settings say that the cluster starts for the first time, and otherwise one
+// that was never used.
+func (p *Process) newIdentity() consensus.NodeID {
+	s := p.settings
+	founds := s.Discovery != nil && s.Discovery.Bootstrap && slices.Contains(s.Replicas(), s.VM)
+	if founds {
+		return FirstIdentity(s.VM)
+	}
+	return consensus.NodeID(s.VM + "/" + randomID())
+}
+
 // bootstrap returns the first members of a formatted cluster. A replica under
 // a later identity starts as a learner and knows none.
 func (p *Process) bootstrap(id consensus.NodeID) consensus.Members {
@@ -250,7 +270,10 @@
 			ID: s.VM, Incarnation: p.incarnation, Address: p.EntryURL(), FailureDomain: s.Self().FailureDomain,
 		},
 		Replicas: s.Replicas(),
-		Timing:   machine.DefaultTiming(),
+		Timing:   timing(s),
+	}
+	if s.Discovery != nil {
+		cfg.OpenMembership, cfg.LeaseOptional = true, true
 	}
 	if s.Replica != nil {
 		cfg.CompactEvery = uint64(s.Replica.CompactEveryEntries)
@@ -303,11 +326,28 @@
 	p.dispatcher.SetShares(out)
 }
 
+// timing returns the timing of control state for the settings.
+func timing(s *settings.Settings) machine.Timing {
+	t := machine.DefaultTiming()
+	if s.Platform == nil {
+		return t
+	}
+	heartbeat := settings.Millis(s.Platform.HeartbeatMillis)
+	t.FleetSettle = 2 * heartbeat
+	t.Fleet.SuspectAfter = 4 * heartbeat
+	t.Fleet.VMSuspectAfter = 2 * time.Second
+	return t
+}
+
 // buildPeers dials every replica but those that dial this process themselves:
 // of two replicas the one with the smaller name dials.
 func (p *Process) buildPeers() {
 	node := p.tree.Supervisor("peers")
 	node.Service("acceptor", p.mesh.Acceptor(p.listeners.Peers))
+	if d := p.settings.Discovery; d != nil {
+		node.Service("links", p.mesh.Links(d.PeerAddress))
+		return
+	}
 	self := p.settings.Self()
 	for _, m := range p.settings.Members {
 		if m.VM == self.VM || !m.Replica || (self.Replica && m.VM < self.VM) {
@@ -320,6 +360,8 @@
 // EntryURL returns the base URL for callers; empty without an entry part.
 func (p *Process) EntryURL() string {
 	switch {
+	case p.listeners.Platform.Frontend != nil:
+		return "http://" + p.listeners.Platform.Frontend.Addr().String()
 	case p.listeners.Entry == nil:
 		return ""
 	case p.settings.Entry.Address != "":
--- a/root/stop.go
+++ b/root/stop.go
@@ -65,6 +65,9 @@
 // of the address answer for as long as callers may keep one, then out of new
 // work, then its streams run out, then leases and leadership are handed over.
 func (p *Process) drain(ended <-chan struct{}) error {
+	if p.settings.Platform != nil {
+		return p.drainPlatform(ended)
+	}
 	p.log.Info("stopping: leaving the address answer")
 	p.post(machine.Stop{Phase: machine.StopLeaving})
 	var err error
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -44,6 +44,7 @@
 type State struct {
 	self    string
 	view    *view.View
+	classes classes
 	core    *admission.Core
 	sched   *scheduling.Scheduler
 	entries int
@@ -114,7 +115,8 @@
 }
 
 func (s *State) applyClasses() []Refused {
-	return s.refuse(s.core.SetClasses(s.view.Table.Classes, s.share))
+	s.classes.update(s.view)
+	return s.refuse(s.core.SetClasses(s.classes.list, s.share))
 }
 
 func (s *State) share(class string) (float64, bool) {
@@ -130,7 +132,7 @@
 	if err := s.ready(now); err != nil {
 		return 0, err
 	}
-	class, ok := s.view.Table.Class(r.Class)
+	class, ok := s.classes.byName[r.Class]
 	if !ok {
 		return 0, fault.New(fault.NotFound, part, "no class %q", r.Class)
 	}
@@ -154,7 +156,7 @@
 // deadline.
 func (s *State) Grants(now time.Time) ([]Grant, []Refused) {
 	refused := s.refuse(s.core.Expire(now))
-	if s.view == nil || !now.Before(s.view.LeaseUntil) {
+	if s.view == nil || !s.view.InForce(now) {
 		return nil, refused
 	}
 	var grants []Grant
@@ -196,7 +198,7 @@
 	work := s.line[item.ID].work
 	delete(s.line, item.ID)
 	g.ID = item.ID
-	g.Class, _ = s.view.Table.Class(item.Class)
+	g.Class = s.classes.byName[item.Class]
 	g.hedgeAfter = s.sched.HedgeAfter(&work)
 	g.run = s.sched.Begin(now, work, g.Server.ID)
 	s.held[item.ID] = &granted{run: g.run}
--- /dev/null
+++ b/root/traffic/routed.go
@@ -0,0 +1,68 @@
+package traffic
+
+import (
+	"net"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/relay"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/usage"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
+
+	"net/http"
+)
+
+// RoutedOptions describe the traffic part of a process behind a platform's front.
+type RoutedOptions struct {
+	Ancestor   *supervise.Node
+	Listener   net.Listener
+	Views      *view.Store
+	Loop       *loop.Loop
+	Dispatcher *dispatch.Dispatcher
+	// Applied returns the newest view that the dispatcher goes by.
+	Applied func() *view.View
+	Server  frontdoor.ServerOptions
+	// Backend returns the protocol towards backend servers over a transport.
+	Backend func(*engine.Transport) relay.Backend
+	// Front returns the handler of callers' requests and the number in flight.
+	Front   func(*relay.Relay, *supervise.Node) (http.Handler, func() int)
+	Retries *relay.Retries
+	Draw    func() float64
+}
+
+// Routed is the running traffic part of a process behind a platform's front.
+type Routed struct {
+	Server    *frontdoor.Server
+	Transport *engine.Transport
+	// InFlight returns the number of callers' requests being served.
+	InFlight func() int
+}
+
+// NewRouted adds the traffic subtree below o.Ancestor.
+func NewRouted(o RoutedOptions) *Routed {
+	node := o.Ancestor.Supervisor("traffic")
+	transport := engine.NewTransport()
+	carrier := relay.New(relay.Options{
+		Views:      o.Views,
+		Dispatcher: o.Dispatcher,
+		Backend:    o.Backend(transport),
+		Retries:    o.Retries,
+		Draw:       o.Draw,
+		Log:        node.Log().WithName("relay"),
+	})
+	handler, inFlight := o.Front(carrier, node)
+	t := &Routed{
+		Server:    frontdoor.NewServer(o.Listener, handler, o.Server),
+		Transport: transport,
+		InFlight:  inFlight,
+	}
+	for _, name := range []string{"engine", "relay", "dispatch", "admission", "scheduling", "addresses"} {
+		node.Passive(name)
+	}
+	node.Service("usage", usage.New(o.Loop, o.Dispatcher, inFlight, o.Applied))
+	node.Service("frontdoor", t.Server)
+	return t
+}
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -20,7 +20,7 @@
 )
 
 // passive are the parts that run on the goroutines of requests.
-var passive = []string{"forward", "dispatch", "admission", "scheduling", "addresses"}
+var passive = []string{"forward", "relay", "dispatch", "admission", "scheduling", "addresses"}
 
 // Options describe the traffic part of one process.
 type Options struct {
--- a/settings/load.go
+++ b/settings/load.go
@@ -63,6 +63,14 @@
 }
 
 func (s *Settings) fillSections() {
+	if s.Discovery != nil && len(s.Members) == 0 {
+		s.Members = []Member{{
+			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.Peers.Listen, Replica: s.Replica != nil,
+		}}
+	}
+	if s.Platform != nil && s.Platform.AddressLifetimeMillis == 0 {
+		s.Platform.AddressLifetimeMillis = defaultAddressLifetimeMillis
+	}
 	if s.Entry != nil && s.Entry.AddressLifetimeSeconds == 0 {
 		s.Entry.AddressLifetimeSeconds = defaultAddressLifetimeSeconds
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"net"
+	"strconv"
 	"time"
 )
 
@@ -11,15 +13,20 @@
 	// Cluster is the name shared by all VMs of one deployment.
 	Cluster string `json:"cluster"`
 	// VM is the stable name of this VM; it must be one of Members.
-	VM       string   `json:"vm"`
-	Members  []Member `json:"members"`
-	Peers    Peers    `json:"peers"`
-	Entry    *Entry   `json:"entry"`
-	Replica  *Replica `json:"replica"`
-	Operator Operator `json:"operator"`
-	Limits   Limits   `json:"limits"`
-	Stop     Stop     `json:"stop"`
-	Log      Log      `json:"log"`
+	VM      string   `json:"vm"`
+	Members []Member `json:"members"`
+	// FailureDomain is that of this VM where Discovery stands in for Members.
+	FailureDomain string     `json:"failure_domain"`
+	Discovery     *Discovery `json:"discovery"`
+	// Platform chooses the platform's front in place of Entry.
+	Platform *Platform `json:"platform"`
+	Peers    Peers     `json:"peers"`
+	Entry    *Entry    `json:"entry"`
+	Replica  *Replica  `json:"replica"`
+	Operator Operator  `json:"operator"`
+	Limits   Limits    `json:"limits"`
+	Stop     Stop      `json:"stop"`
+	Log      Log       `json:"log"`
 }
 
 // Member is one VM of the system.
@@ -35,6 +42,47 @@
 	Operator string `json:"operator"`
 }
 
+// Discovery finds the other VMs where no list of members is known. VMs are
+// named by their IP addresses.
+type Discovery struct {
+	// Seeds are VMs that run a replica, as host:port; the port is not used.
+	Seeds []string `json:"seeds"`
+	// PeersPort is the port of peers.listen on every VM.
+	PeersPort int `json:"peers_port"`
+	// Bootstrap is true only when the whole system starts for the first time:
+	// the seeds then found the cluster.
+	Bootstrap bool `json:"bootstrap"`
+}
+
+// PeerAddress returns the address for sessions with a VM.
+func (d *Discovery) PeerAddress(vm string) string {
+	return net.JoinHostPort(vm, strconv.Itoa(d.PeersPort))
+}
+
+// Platform sets the front of the users' platform. An empty address is a part
+// that this VM does not serve.
+type Platform struct {
+	// Frontend is where callers' requests arrive.
+	Frontend string `json:"frontend"`
+	// Readiness answers whether this VM takes callers.
+	Readiness string `json:"readiness"`
+	// ControlPlane takes announcements of backend servers and the operator's routes.
+	ControlPlane string `json:"control_plane"`
+	// Directory tells callers which entries to use.
+	Directory string `json:"directory"`
+	// AddressLifetimeMillis is how long callers may keep an answer of the directory.
+	AddressLifetimeMillis int `json:"address_lifetime_ms"`
+	// HeartbeatMillis is the time between announcements of a backend server.
+	HeartbeatMillis int `json:"heartbeat_ms"`
+	// GracePeriodSeconds is the time from SIGTERM to SIGKILL.
+	GracePeriodSeconds float64 `json:"grace_period_seconds"`
+	// In each window a service gets at most RetryRatio further transmissions for
+	// each request and RetryExtra besides, over the whole fleet.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryExtra         int     `json:"retry_extra"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+}
+
 // Peers sets the sessions between the system's own processes.
 type Peers struct {
 	Listen string `json:"listen"`
@@ -118,7 +166,10 @@
 // Defaults of optional sections.
 const (
 	defaultAddressLifetimeSeconds = 5
-	defaultCompactEveryEntries    = 20_000
+	// defaultAddressLifetimeMillis is short, since some callers keep an answer
+	// three times as long while a stopping VM still has to serve them.
+	defaultAddressLifetimeMillis = 1000
+	defaultCompactEveryEntries   = 20_000
 )
 
 // Self returns this VM's entry in Members.
@@ -131,9 +182,18 @@
 	return Member{}
 }
 
-// Replicas returns the VMs that run a replica, in the order of Members.
+// Replicas returns the VMs that are known to run a replica: the seeds, or those
+// of Members in order.
 func (s *Settings) Replicas() []string {
 	var out []string
+	if s.Discovery != nil {
+		for _, seed := range s.Discovery.Seeds {
+			// The address was checked when the settings were read.
+			host, _, _ := net.SplitHostPort(seed)
+			out = append(out, host)
+		}
+		return out
+	}
 	for _, m := range s.Members {
 		if m.Replica {
 			out = append(out, m.VM)
@@ -152,5 +212,8 @@
 	return time.Duration(s.DrainLimitSeconds) * time.Second
 }
 
+// Seconds turns a number of seconds from the settings into a duration.
+func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
 // Millis turns a number of milliseconds from the settings into a duration.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -9,7 +9,7 @@
 func (s *Settings) validate(src *source) error {
 	checks := []func(*source) error{
 		s.checkNames, s.checkMembers, s.checkPeers, s.checkEntry,
-		s.checkReplica, s.checkOperator, s.checkLimits, s.checkLog,
+		s.checkReplica, s.checkOperator, s.checkLimits, s.checkLog, s.checkDiscovery, s.checkPlatform,
 	}
 	for _, check := range checks {
 		if err := check(src); err != nil {
@@ -64,7 +64,7 @@
 			replicas++
 		}
 	}
-	if replicas == 0 {
+	if replicas == 0 && s.Discovery == nil {
 		return src.fail("/members", "at least one VM must have replica true")
 	}
 	return nil
