--- a/root/control/fleet/fleet.go
+++ b/root/control/fleet/fleet.go
@@ -44,6 +44,8 @@
 	Running, Waiting int
 	// CacheUsed is the used share of cache memory, 0 to 1.
 	CacheUsed float64
+	// Tokens counts the prompt tokens that wait to be read, as far as entries know.
+	Tokens int
 	// ReportedAt is the receiver's clock when the report arrived.
 	ReportedAt time.Time
 }
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -238,17 +238,19 @@
 	out := make([]Server, 0, len(t.servers))
 	for _, e := range t.servers {
 		s := e.server
-		s.Load.Running = max(s.Load.Running, e.ownRunning())
+		running, tokens := e.ownLoads()
+		s.Load.Running = max(s.Load.Running, running)
+		s.Load.Tokens = tokens
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-func (e *serverEntry) ownRunning() int {
-	sum := 0
+func (e *serverEntry) ownLoads() (running, tokens int) {
 	for l := range maps.Values(e.running) {
-		sum += l.Running
+		running += l.Running
+		tokens += l.Tokens
 	}
-	return sum
+	return running, tokens
 }
--- a/root/control/view/journal.go
+++ b/root/control/view/journal.go
@@ -134,7 +134,7 @@
 }
 
 func sameLoad(a, b fleet.Load) bool {
-	if a.Running != b.Running || a.Waiting != b.Waiting || a.CacheUsed != b.CacheUsed {
+	if a.Running != b.Running || a.Waiting != b.Waiting || a.Tokens != b.Tokens || a.CacheUsed != b.CacheUsed {
 		return false
 	}
 	idle := a.Running == 0 && a.Waiting == 0
--- a/root/platform.go
+++ b/root/platform.go
@@ -98,20 +98,20 @@
 func (p *Process) routedOptions() traffic.RoutedOptions {
 	s := p.settings.Platform
 	return traffic.RoutedOptions{
-		Ancestor:   p.tree,
-		Listener:   p.listeners.Platform.Frontend,
-		Views:      p.views,
-		Loop:       p.loop,
-		Dispatcher: p.dispatcher,
-		Applied:    p.applied.Load,
-		Server:     p.serverOptions(),
-		Backend:    func(t *engine.Transport) relay.Backend { return platform.NewBackend(t) },
-		Front:      p.ingress,
+		Ancestor: p.tree,
+		Listener: p.listeners.Platform.Frontend,
+		Views:    p.views,
+		Loop:     p.loop,
+		Placer:   p.placer,
+		Applied:  p.applied.Load,
+		Server:   p.serverOptions(),
+		Backend:  func(t *engine.Transport) relay.Backend { return platform.NewBackend(t) },
+		Front:    p.ingress,
 		Retries: &relay.Retries{
 			Ratio:   s.RetryRatio,
 			Extra:   s.RetryExtra,
 			Window:  settings.Seconds(s.RetryWindowSeconds),
-			Entries: p.dispatcher.Entries,
+			Entries: p.placer.Entries,
 		},
 		Draw: rand.Float64,
 	}
--- a/root/process.go
+++ b/root/process.go
@@ -31,6 +31,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/storage"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 	"github.com/wagtaildyke/wagtaildyke/settings"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -46,12 +47,14 @@
 	views       *view.Store
 	loop        *loop.Loop
 	mesh        *peers.Mesh
-	dispatcher  *dispatch.Dispatcher
-	traffic     *traffic.Traffic
-	routed      *traffic.Routed
-	store       *storage.Store
-	writer      *storage.Writer
-	orders      *orders.Sender
+	// dispatcher serves the own front, placer the platform's.
+	dispatcher *dispatch.Dispatcher
+	placer     *placement.Placer
+	traffic    *traffic.Traffic
+	routed     *traffic.Routed
+	store      *storage.Store
+	writer     *storage.Writer
+	orders     *orders.Sender
 	// applied is the newest view that the dispatcher goes by.
 	applied atomic.Pointer[view.View]
 	// recorder counts role changes in each view; set before anything is served.
@@ -265,6 +268,9 @@
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Views: p.views, Seed: p.incarnation, Entries: len(s.Members), Self: s.VM,
 	})
+	if s.Platform != nil {
+		p.placer = placement.NewPlacer(placement.NewState(s.Self().FailureDomain, p.incarnation))
+	}
 	cfg := machine.Config{
 		Self: fleet.VM{
 			ID: s.VM, Incarnation: p.incarnation, Address: p.EntryURL(), FailureDomain: s.Self().FailureDomain,
@@ -308,7 +314,11 @@
 
 func (p *Process) publish(v *view.View) {
 	p.views.Publish(v)
-	p.dispatcher.ViewChanged()
+	if p.placer != nil {
+		p.placer.SetView(v)
+	} else {
+		p.dispatcher.ViewChanged()
+	}
 	p.applied.Store(v)
 	if v.Left {
 		p.leftOnce.Do(func() { close(p.left) })
--- a/root/traffic/dispatch/dispatcher.go
+++ b/root/traffic/dispatch/dispatcher.go
@@ -228,13 +228,6 @@
 	return d.state.Own()
 }
 
-// Entries returns the number of entries that share the fleet.
-func (d *Dispatcher) Entries() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.state.entries
-}
-
 // Demand returns this entry's demand for each class.
 func (d *Dispatcher) Demand() []ClassDemand {
 	d.mu.Lock()
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -44,7 +44,6 @@
 type State struct {
 	self    string
 	view    *view.View
-	classes classes
 	core    *admission.Core
 	sched   *scheduling.Scheduler
 	entries int
@@ -115,8 +114,7 @@
 }
 
 func (s *State) applyClasses() []Refused {
-	s.classes.update(s.view)
-	return s.refuse(s.core.SetClasses(s.classes.list, s.share))
+	return s.refuse(s.core.SetClasses(s.view.Table.Classes, s.share))
 }
 
 func (s *State) share(class string) (float64, bool) {
@@ -132,7 +130,7 @@
 	if err := s.ready(now); err != nil {
 		return 0, err
 	}
-	class, ok := s.classes.byName[r.Class]
+	class, ok := s.view.Table.Class(r.Class)
 	if !ok {
 		return 0, fault.New(fault.NotFound, part, "no class %q", r.Class)
 	}
@@ -156,7 +154,7 @@
 // deadline.
 func (s *State) Grants(now time.Time) ([]Grant, []Refused) {
 	refused := s.refuse(s.core.Expire(now))
-	if s.view == nil || !s.view.InForce(now) {
+	if s.view == nil || !now.Before(s.view.LeaseUntil) {
 		return nil, refused
 	}
 	var grants []Grant
@@ -198,7 +196,7 @@
 	work := s.line[item.ID].work
 	delete(s.line, item.ID)
 	g.ID = item.ID
-	g.Class = s.classes.byName[item.Class]
+	g.Class, _ = s.view.Table.Class(item.Class)
 	g.hedgeAfter = s.sched.HedgeAfter(&work)
 	g.run = s.sched.Begin(now, work, g.Server.ID)
 	s.held[item.ID] = &granted{run: g.run}
--- /dev/null
+++ b/root/traffic/placement/placer.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// Placer shares one State. Its methods may be called from any goroutine and
+// hold the lock for a moment only.
+type Placer struct {
+	mu    sync.Mutex
+	state *State
+}
+
+// NewPlacer returns a placer over a state.
+func NewPlacer(s *State) *Placer { return &Placer{state: s} }
+
+// SetView takes over a newly published view.
+func (p *Placer) SetView(v *view.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.SetView(v)
+}
+
+// Place chooses a server. An error is a *fault.Error that says that the work has
+// not run.
+func (p *Placer) Place(w Work) (*Lease, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	run, err := p.state.Place(now, w)
+	if err != nil {
+		return nil, err
+	}
+	return &Lease{placer: p, run: run, server: run.Server(), placed: now}, nil
+}
+
+// HasStage reports whether an active engine of the service takes the stage.
+func (p *Placer) HasStage(service string, stage Stage) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.HasStage(service, stage)
+}
+
+// Own returns this entry's load on each server that it uses.
+func (p *Placer) Own() []fleet.OwnLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Own()
+}
+
+// Entries returns the number of VMs that take callers.
+func (p *Placer) Entries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Entries()
+}
+
+// Lease is a place on a server. Its holder ends it with End.
+type Lease struct {
+	placer *Placer
+	run    *Run
+	server fleet.Server
+	placed time.Time
+	took   time.Duration
+}
+
+// Server returns the server as it was when the place was given.
+func (l *Lease) Server() fleet.Server { return l.server }
+
+// Choice returns what the place was chosen by.
+func (l *Lease) Choice() Choice { return l.run.choice }
+
+// Took returns the time to the first sign of the answer; 0 without any.
+func (l *Lease) Took() time.Duration { return l.took }
+
+// First notes the first sign of the answer: the prompt has been read.
+func (l *Lease) First() {
+	if l.took > 0 {
+		return
+	}
+	l.took = max(1, time.Since(l.placed))
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	l.run.Read()
+}
+
+// End gives the place back. Later calls do nothing.
+func (l *Lease) End(o Outcome) {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	l.run.End(time.Now(), Result{Outcome: o, Took: l.took})
+}
--- /dev/null
+++ b/root/traffic/relay/prefill.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+)
+
+const (
+	// prefillApartTokens is the prompt length from which reading apart beats
+	// reading where the answer is made: a short prompt takes a decode engine less
+	// time than the extra call and the transfer.
+	prefillApartTokens = 2000
+	// maxPrefills bounds the prefill calls of one request.
+	maxPrefills = 2
+	// releaseTimeout bounds the call that frees KV cache without a taker.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// prepare has a long prompt read apart. Without an engine for that, or after a
+// refusal, the request goes whole to one server.
+func (r *run) prepare(ctx context.Context) (err error) {
+	if r.parts == nil {
+		r.parts = hashParts(r.req.Prompt)
+	}
+	if r.cache != nil || !r.apart() {
+		return nil
+	}
+	if r.prefills > 0 && !r.Retries.Take(r.service.Name, time.Now()) {
+		return nil
+	}
+	w := r.work()
+	w.Stage = placement.Prefill
+	lease, err := r.Placer.Place(w)
+	if err != nil {
+		// The decode engines decide whether there is room.
+		return nil
+	}
+	outcome := placement.Lost
+	defer func() { r.ended(lease, outcome, err) }()
+	watch := r.newWatch(ctx)
+	defer watch.stop()
+	handle, err := r.Backend.Prefill(watch.ctx, lease.Server(), r.transmission())
+	r.prefills++
+	if err == nil {
+		lease.First()
+		outcome = placement.Answered
+		r.cache = &handle
+		return nil
+	}
+	if ctx.Err() != nil {
+		outcome = placement.Abandoned
+		return fault.From(err)
+	}
+	r.prefillFailed(lease.Server().ID, err)
+	return nil
+}
+
+// prefillFailed notes a prefill call without a handle. One that reached the
+// server counts as an attempt.
+func (r *run) prefillFailed(server string, err error) {
+	r.exclude = append(r.exclude, server)
+	r.Log.V(1).Info("a prefill failed", "request", r.req.ID, "server", server, "reason", err.Error())
+	var send *engine.SendError
+	if errors.As(err, &send) && send.NotSent {
+		return
+	}
+	r.sends++
+}
+
+// apart reports whether the prompt is to be read apart.
+func (r *run) apart() bool {
+	return r.service.Engine != nil && r.req.Prompt.Tokens >= prefillApartTokens &&
+		r.prefills < maxPrefills && r.Placer.HasStage(r.service.Name, placement.Prefill)
+}
+
+// hashParts chains the parts, since a cached part counts only after those before it.
+func hashParts(p Prompt) []placement.Part {
+	h := xxhash.New()
+	// Writes to a hash don't fail.
+	_, _ = h.WriteString(p.Model)
+	out := make([]placement.Part, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		_, _ = h.WriteString("\x00" + part.ID)
+		out = append(out, placement.Part{Hash: h.Sum64(), Tokens: part.Tokens})
+	}
+	return out
+}
+
+// releaseCache frees KV cache that was read and not taken.
+func (r *run) releaseCache() {
+	if r.cache == nil {
+		return
+	}
+	handle := *r.cache
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := r.Backend.Release(ctx, handle); err != nil {
+			r.Log.V(1).Info("KV cache was not freed; it lapses by itself", "request", r.req.ID,
+				"server", handle.Server.ID, "reason", err.Error())
+		}
+	}()
+}
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -14,8 +14,8 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 )
 
 const part = "traffic/relay"
@@ -95,7 +95,7 @@
 type Backend interface {
 	Send(ctx context.Context, s fleet.Server, a Attempt) (Reply, error)
 	// Prefill has the prompt read and its KV cache kept. A refusal is an error
-	// of kind fault.BackendFailed that says whether anything ran.
+	// of kind fault.BackendFailed.
 	Prefill(ctx context.Context, s fleet.Server, a Attempt) (CacheHandle, error)
 	// Release frees a KV cache that nobody will take.
 	Release(ctx context.Context, h CacheHandle) error
@@ -111,9 +111,9 @@
 
 // Options configure a Relay.
 type Options struct {
-	Views      *view.Store
-	Dispatcher *dispatch.Dispatcher
-	Backend    Backend
+	Views   *view.Store
+	Placer  *placement.Placer
+	Backend Backend
 	// Retries is the fleet's retry budget.
 	Retries *Retries
 	// Draw returns a random number in [0,1).
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -8,10 +8,13 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 )
 
+// maxPlaces bounds the servers that one request tries without reaching them.
+const maxPlaces = 4
+
 // run is the progress of one request over its attempts.
 //
 // Invariants: a request that is not idempotent is sent again only on a server's
@@ -31,14 +34,17 @@
 	headSent bool
 	// exclude lists the servers that failed this request.
 	exclude []string
+	// parts are the parts of the prompt as placement sees them.
+	parts []placement.Part
+	// cache is KV cache that waits for its taker; prefills counts the calls for one.
+	cache    *CacheHandle
+	prefills int
 	// ran is the strongest claim about what ran so far.
 	ran fault.Ran
 }
 
-// maxPlaces bounds the servers that one request tries without reaching them.
-const maxPlaces = 4
-
 func (r *run) serve(ctx context.Context) error {
+	defer r.releaseCache()
 	var last *fault.Error
 	for range maxPlaces + r.route.MaxAttempts {
 		done, err := r.attempt(ctx)
@@ -55,114 +61,169 @@
 
 // attempt sends the request to one server. done means that the error is final.
 func (r *run) attempt(ctx context.Context) (done bool, err error) {
-	lease, err := r.Dispatcher.Acquire(ctx, r.work())
+	if err := r.prepare(ctx); err != nil {
+		return false, err
+	}
+	lease, err := r.Placer.Place(r.work())
 	if err != nil {
 		return true, r.refusal(ctx, fault.From(err))
 	}
-	outcome := dispatch.Failed
-	defer func() { lease.Done(outcome) }()
-	reply, err := r.send(ctx, lease)
-	if err != nil {
-		return false, err
+	outcome := placement.Lost
+	defer func() { r.ended(lease, outcome, err) }()
+	watch := r.newWatch(ctx)
+	defer watch.stop()
+	reply, err := r.send(watch.ctx, lease)
+	if err == nil {
+		defer reply.Close()
+		outcome, err = r.deliver(lease, reply, watch)
+	}
+	if err != nil && ctx.Err() != nil {
+		outcome = placement.Abandoned
+	}
+	return fault.Is(err, fault.Cancelled), err
+}
+
+// ended gives a place back and logs how it went.
+func (r *run) ended(lease *placement.Lease, outcome placement.Outcome, err error) {
+	lease.End(outcome)
+	chosen := lease.Choice()
+	fields := []any{
+		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", chosen.Stage.String(),
+		"outcome", outcome.String(), "first_ms", lease.Took().Milliseconds(), "age_ms", time.Since(r.req.Arrived).Milliseconds(),
+		"running", chosen.Running, "queued", chosen.Queued, "missing", chosen.Missing, "slowness", chosen.Slowness,
+		"candidates", chosen.Candidates,
 	}
-	defer reply.Close()
-	err = r.deliver(lease, reply)
-	switch {
-	case err == nil:
-		outcome = dispatch.Succeeded
-	case fault.Is(err, fault.Cancelled):
-		outcome = dispatch.Cancelled
-		return true, err
+	if err != nil {
+		fields = append(fields, "reason", err.Error())
 	}
-	return false, err
+	r.Log.Info("an attempt ended", fields...)
 }
 
-// work is what the dispatcher sees of the request.
-func (r *run) work() dispatch.Request {
-	return dispatch.Request{
-		ID:              r.req.ID,
-		Class:           r.route.Class(),
-		Target:          r.service.Name,
-		PromptTokens:    r.req.Prompt.Tokens,
-		MaxOutputTokens: r.req.Prompt.MaxOutput,
-		Arrived:         r.req.Arrived,
-		Deadline:        r.deadline,
-		Exclude:         r.exclude,
+// work is what placement sees of the request.
+func (r *run) work() placement.Work {
+	w := placement.Work{
+		Service:      r.service.Name,
+		PromptTokens: r.req.Prompt.Tokens,
+		Parts:        r.parts,
+		Exclude:      r.exclude,
+	}
+	if r.cache != nil {
+		w.Stage = placement.Decode
 	}
+	return w
 }
 
-// send transmits the request within the attempts and the retry budget.
-func (r *run) send(ctx context.Context, lease *dispatch.Lease) (Reply, error) {
+// send transmits the request within the retry budget.
+func (r *run) send(ctx context.Context, lease *placement.Lease) (Reply, error) {
 	server := lease.Server()
 	if r.sends > 0 && !r.Retries.Take(r.service.Name, time.Now()) {
-		return nil, fault.New(fault.Overloaded, part, "the retry budget of %s is used up", r.service.Name).WithRan(r.ran)
+		return nil, r.errBudget()
 	}
-	reply, err := r.Backend.Send(ctx, server, Attempt{
-		Request: r.req, Deadline: r.deadline, After: r.after, Urgency: r.route.Priority,
-	})
+	reply, err := r.Backend.Send(ctx, server, r.transmission())
 	if err == nil {
 		r.sends++
+		r.cache = nil
 		return reply, nil
 	}
-	r.exclude = append(r.exclude, server.ID)
-	failed := sendFailed(server.ID, err)
-	if failed.Ran != fault.RanNo {
-		r.sends++
-		r.ran = fault.RanUnknown
+	return nil, r.sendFailed(server.ID, err)
+}
+
+// transmission describes one transmission of the request.
+func (r *run) transmission() Attempt {
+	return Attempt{
+		Request:        r.req,
+		Deadline:       r.deadline,
+		After:          r.after,
+		Urgency:        r.route.Priority,
+		Cache:          r.cache,
+		MaxConnections: r.maxConnections(),
 	}
-	return nil, failed
+}
+
+// minConnections is the least number of connections that an entry may have to
+// one server, whatever its part of the bound comes to.
+const minConnections = 4
+
+// maxConnections is this entry's part of the bound on connections to one server.
+func (r *run) maxConnections() int {
+	if r.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(minConnections, r.service.MaxConnections/r.Placer.Entries())
+}
+
+// sendFailed notes a call that brought no answer.
+func (r *run) sendFailed(server string, err error) *fault.Error {
+	r.exclude = append(r.exclude, server)
+	failed := fault.Wrap(err, fault.BackendFailed, part, "%s did not answer", server)
+	var send *engine.SendError
+	if errors.As(err, &send) && send.NotSent {
+		return failed.WithRan(fault.RanNo)
+	}
+	r.sends++
+	r.cache = nil
+	r.ran = fault.RanUnknown
+	return failed.WithRan(fault.RanUnknown)
 }
 
 // deliver moves a reply to the caller.
-func (r *run) deliver(lease *dispatch.Lease, reply Reply) error {
+func (r *run) deliver(lease *placement.Lease, reply Reply, watch *watch) (placement.Outcome, error) {
 	head := reply.Head()
 	server := lease.Server().ID
 	if head.NotRun {
 		r.exclude = append(r.exclude, server)
-		return fault.New(fault.BackendFailed, part, "%s refused with status %d", server, head.Status).WithRan(fault.RanNo)
+		err := fault.New(fault.BackendFailed, part, "%s refused with status %d", server, head.Status)
+		return placement.Abandoned, err.WithRan(fault.RanNo)
 	}
 	r.ran = fault.RanYes
 	if head.Stream {
-		return r.stream(lease, reply)
+		return r.stream(lease, reply, watch)
 	}
 	if r.headSent {
-		return fault.New(fault.StreamCut, part, "%s did not resume the stream", server)
+		return placement.Errored, fault.New(fault.StreamCut, part, "%s did not resume the stream", server)
 	}
 	body, err := reply.Body()
 	if err != nil {
 		r.exclude = append(r.exclude, server)
-		return err
+		return placement.Lost, err
+	}
+	lease.First()
+	if head.Status < failedStatus {
+		return placement.Answered, gone(r.sink.Whole(head, body))
 	}
-	if head.Status >= 500 && r.mayRepeat() {
+	if r.route.Idempotent() && r.attemptsLeft() {
 		r.exclude = append(r.exclude, server)
-		if r.attemptsLeft() && r.Retries.Take(r.service.Name, time.Now()) {
-			return fault.New(fault.BackendFailed, part, "%s answered status %d", server, head.Status)
-		}
+		return placement.Errored, fault.New(fault.BackendFailed, part, "%s answered status %d", server, head.Status)
 	}
-	return gone(r.sink.Whole(head, body))
+	return placement.Errored, gone(r.sink.Whole(head, body))
 }
 
+// failedStatus is the first status by which a server says that it failed.
+const failedStatus = 500
+
 // stream moves events to the caller until the stream ends or breaks.
-func (r *run) stream(lease *dispatch.Lease, reply Reply) error {
+func (r *run) stream(lease *placement.Lease, reply Reply, watch *watch) (placement.Outcome, error) {
 	for {
 		ev, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			return r.endStream(reply)
+			return placement.Answered, r.endStream(reply)
 		}
 		if err != nil {
 			r.exclude = append(r.exclude, lease.Server().ID)
-			return err
+			return placement.Lost, err
 		}
+		lease.First()
+		watch.progress()
 		if ev.ID > 0 && ev.ID <= r.after {
 			continue
 		}
 		if err := r.pass(reply, ev); err != nil {
-			return err
+			return placement.Abandoned, err
 		}
-		lease.Tokens(1)
 	}
 }
 
+// pass hands one event to the caller, after the head of the first server.
 func (r *run) pass(reply Reply, ev engine.VerbatimEvent) error {
 	if !r.headSent {
 		r.headSent = true
@@ -185,8 +246,6 @@
 	return gone(r.sink.Head(reply.Head()))
 }
 
-func (r *run) mayRepeat() bool { return r.route.Idempotent() }
-
 func (r *run) attemptsLeft() bool { return r.sends < max(1, r.route.MaxAttempts) }
 
 // mayGoOn reports whether another server may be tried after a failure.
@@ -194,7 +253,7 @@
 	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || !r.attemptsLeft() {
 		return false
 	}
-	return r.mayRepeat() || (failed.Ran == fault.RanNo && r.ran == fault.RanNo)
+	return r.route.Idempotent() || (failed.Ran == fault.RanNo && r.ran == fault.RanNo)
 }
 
 // refusal is what the caller is told after the last attempt: the strongest claim
@@ -206,13 +265,8 @@
 	if r.ran != fault.RanNo {
 		return failed.WithRan(r.ran)
 	}
-	return failed
-}
-
-// gone says that the caller no longer takes the answer.
-func gone(err error) error {
-	if err == nil {
-		return nil
+	if failed.RetryAfter == 0 {
+		return failed.WithRetryAfter(refusedRetry)
 	}
-	return fault.Wrap(err, fault.Cancelled, part, "the caller has gone").WithRan(fault.RanYes)
+	return failed
 }
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -2,26 +2,25 @@
 
 import (
 	"net"
+	"net/http"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/relay"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/usage"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
-
-	"net/http"
 )
 
 // RoutedOptions describe the traffic part of a process behind a platform's front.
 type RoutedOptions struct {
-	Ancestor   *supervise.Node
-	Listener   net.Listener
-	Views      *view.Store
-	Loop       *loop.Loop
-	Dispatcher *dispatch.Dispatcher
+	Ancestor *supervise.Node
+	Listener net.Listener
+	Views    *view.Store
+	Loop     *loop.Loop
+	Placer   *placement.Placer
 	// Applied returns the newest view that the dispatcher goes by.
 	Applied func() *view.View
 	Server  frontdoor.ServerOptions
@@ -46,12 +45,12 @@
 	node := o.Ancestor.Supervisor("traffic")
 	transport := engine.NewTransport()
 	carrier := relay.New(relay.Options{
-		Views:      o.Views,
-		Dispatcher: o.Dispatcher,
-		Backend:    o.Backend(transport),
-		Retries:    o.Retries,
-		Draw:       o.Draw,
-		Log:        node.Log().WithName("relay"),
+		Views:   o.Views,
+		Placer:  o.Placer,
+		Backend: o.Backend(transport),
+		Retries: o.Retries,
+		Draw:    o.Draw,
+		Log:     node.Log().WithName("relay"),
 	})
 	handler, inFlight := o.Front(carrier, node)
 	t := &Routed{
@@ -59,10 +58,10 @@
 		Transport: transport,
 		InFlight:  inFlight,
 	}
-	for _, name := range []string{"engine", "relay", "dispatch", "admission", "scheduling", "addresses"} {
+	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
 		node.Passive(name)
 	}
-	node.Service("usage", usage.New(o.Loop, o.Dispatcher, inFlight, o.Applied))
+	node.Service("usage", usage.New(o.Loop, usage.Placed{Placer: o.Placer}, inFlight, o.Applied))
 	node.Service("frontdoor", t.Server)
 	return t
 }
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -20,7 +20,7 @@
 )
 
 // passive are the parts that run on the goroutines of requests.
-var passive = []string{"forward", "relay", "dispatch", "admission", "scheduling", "addresses"}
+var passive = []string{"forward", "relay", "placement", "dispatch", "admission", "scheduling", "addresses"}
 
 // Options describe the traffic part of one process.
 type Options struct {
@@ -84,7 +84,7 @@
 	for _, name := range passive {
 		node.Passive(name)
 	}
-	node.Service("usage", usage.New(o.Loop, o.Dispatcher, handler.InFlight, o.Applied))
+	node.Service("usage", usage.New(o.Loop, usage.Dispatched{Dispatcher: o.Dispatcher}, handler.InFlight, o.Applied))
 	node.Service("frontdoor", t.Server)
 	return t
 }
--- a/root/traffic/usage/usage.go
+++ b/root/traffic/usage/usage.go
@@ -10,23 +10,66 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 )
 
 // interval is the time between two reports.
 const interval = 400 * time.Millisecond
 
+// Source tells what traffic of this process is under way.
+type Source interface {
+	// Loads returns the own requests on each backend server in use.
+	Loads() []fleet.OwnLoad
+	// Demands returns the demand for each class.
+	Demands() []fleet.Demand
+}
+
+// Dispatched is the source of a process whose requests wait in line for a place.
+type Dispatched struct{ *dispatch.Dispatcher }
+
+// Loads implements Source.
+func (d Dispatched) Loads() []fleet.OwnLoad {
+	var out []fleet.OwnLoad
+	for _, l := range d.Own() {
+		if l.Running > 0 {
+			out = append(out, fleet.OwnLoad{Server: l.ID, Running: l.Running, Tokens: l.Tokens})
+		}
+	}
+	return out
+}
+
+// Demands implements Source.
+func (d Dispatched) Demands() []fleet.Demand {
+	var out []fleet.Demand
+	for _, c := range d.Demand() {
+		out = append(out, fleet.Demand{
+			Class: c.Class, Running: c.Running, Waiting: c.Waiting, RatePerSecond: c.Rate,
+		})
+	}
+	return out
+}
+
+// Placed is the source of a process whose requests are placed at once.
+type Placed struct{ *placement.Placer }
+
+// Loads implements Source.
+func (p Placed) Loads() []fleet.OwnLoad { return p.Own() }
+
+// Demands implements Source: without lines and classes there is none to divide.
+func (p Placed) Demands() []fleet.Demand { return nil }
+
 // Reporter tells the control thread about this process's own traffic.
 type Reporter struct {
-	loop       *loop.Loop
-	dispatcher *dispatch.Dispatcher
-	inFlight   func() int
-	applied    func() *view.View
+	loop     *loop.Loop
+	source   Source
+	inFlight func() int
+	applied  func() *view.View
 }
 
 // New returns a Reporter. inFlight counts callers' requests being served;
 // applied returns the newest view that the dispatcher goes by.
-func New(l *loop.Loop, d *dispatch.Dispatcher, inFlight func() int, applied func() *view.View) *Reporter {
-	return &Reporter{loop: l, dispatcher: d, inFlight: inFlight, applied: applied}
+func New(l *loop.Loop, s Source, inFlight func() int, applied func() *view.View) *Reporter {
+	return &Reporter{loop: l, source: s, inFlight: inFlight, applied: applied}
 }
 
 // Serve runs until ctx ends.
@@ -51,15 +94,7 @@
 	if v := r.applied(); v != nil {
 		out.ViewTerm, out.ViewSeq = v.Term, v.Seq
 	}
-	for _, l := range r.dispatcher.Own() {
-		if l.Running > 0 {
-			out.Loads = append(out.Loads, fleet.OwnLoad{Server: l.ID, Running: l.Running, Tokens: l.Tokens})
-		}
-	}
-	for _, d := range r.dispatcher.Demand() {
-		out.Demands = append(out.Demands, fleet.Demand{
-			Class: d.Class, Running: d.Running, Waiting: d.Waiting, RatePerSecond: d.Rate,
-		})
-	}
+	out.Loads = r.source.Loads()
+	out.Demands = r.source.Demands()
 	return out
 }
