--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
@@ -25,17 +27,55 @@
 	p.state.SetView(v)
 }
 
-// Place chooses a server. An error is a *fault.Error that says that the work has
-// not run.
-func (p *Placer) Place(w Work) (*Lease, error) {
+// Place chooses a server and waits in line for it where it must. An error is a
+// *fault.Error that says that the work has not run.
+func (p *Placer) Place(ctx context.Context, w Work) (*Lease, error) {
+	arrived := time.Now()
+	patience := w.Patience
+	for {
+		run, item, err := p.try(w)
+		if err != nil {
+			return nil, err
+		}
+		if item != nil {
+			if run, err = p.await(ctx, item); err != nil {
+				return nil, err
+			}
+		}
+		if run != nil {
+			return &Lease{placer: p, run: run, server: run.Server(), placed: time.Now()}, nil
+		}
+		if patience > 0 {
+			w.Patience = max(1, patience-time.Since(arrived))
+		}
+	}
+}
+
+func (p *Placer) try(w Work) (*Run, *Waiting, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	run, err := p.state.Place(now, w)
+	run, item, err := p.state.Place(time.Now(), w)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	return run, item, nil
+}
+
+// await waits in line. It returns nil when the work is to be placed anew.
+func (p *Placer) await(ctx context.Context, item *Waiting) (*Run, error) {
+	select {
+	case run := <-item.granted:
+		return run, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.state.leave(item) {
+		if run := <-item.granted; run != nil {
+			run.End(time.Now(), Result{Outcome: Abandoned})
+		}
 	}
-	return &Lease{placer: p, run: run, server: run.Server(), placed: now}, nil
+	return nil, fault.From(ctx.Err()).WithRan(fault.RanNo)
 }
 
 // HasStage reports whether an active engine of the service takes the stage.
--- a/root/traffic/placement/scorers.go
+++ b/root/traffic/placement/scorers.go
@@ -1,6 +1,9 @@
 package placement
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // weighted is a scorer with its weight in the sum.
 type weighted struct {
@@ -17,20 +20,18 @@
 	return (c.Running + 1) / float64(c.Server.Slots) * c.Slowness
 }
 
-// prefillUnit is the number of prompt tokens that weigh as much as a full server:
-// some tenths of a second of an engine's reading.
-const prefillUnit = 20_000
+// readingUnit is the reading time that weighs as much as a full server.
+const readingUnit = 500 * time.Millisecond
 
-// PromptScorer prefers engines with fewer prompt tokens to read before the
-// request's own are read.
-type PromptScorer struct{}
+// ReadingScorer prefers engines that will have read the prompt sooner.
+type ReadingScorer struct{}
 
 // Score implements Scorer.
-func (PromptScorer) Score(w *Work, c *Candidate) float64 {
+func (ReadingScorer) Score(w *Work, c *Candidate) float64 {
 	if w.Stage == Decode {
 		return 0
 	}
-	return (c.Queued + c.Missing) / prefillUnit * c.Slowness
+	return float64(c.Reading) / float64(readingUnit) * c.Slowness
 }
 
 // ErrorScorer avoids servers that fail more often than their like.
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -42,16 +42,25 @@
 	Parts []Part
 	// Exclude lists the servers that failed this request.
 	Exclude []string
+	// Patience is how long the caller waits for the first sign of an answer; 0 for
+	// no bound.
+	Patience time.Duration
 }
 
 // Candidate is a server with what this entry knows of it.
 type Candidate struct {
 	Server *fleet.Server
+	// Own is this entry's requests on the server.
+	Own int
 	// Running estimates the requests on the server from all entries.
 	Running float64
 	// Queued estimates the prompt tokens that wait on the server, Missing those
 	// of the work that its cache lacks.
 	Queued, Missing float64
+	// Home says that the prompts that share the work's first part are sent here.
+	Home bool
+	// Reading predicts the time until the prompt is read.
+	Reading time.Duration
 	// Near says that the server is in this entry's failure domain.
 	Near bool
 	// Errors is the recent share of failures above what the service's servers
@@ -130,6 +139,8 @@
 	Candidates int
 	// The rest is what was known of the chosen server; see Candidate.
 	Running, Queued, Missing, Slowness float64
+	Reading                            time.Duration
+	Home                               bool
 }
 
 // Result describes the end of a placed request.
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -37,16 +37,13 @@
 	}
 	w := r.work()
 	w.Stage = placement.Prefill
-	lease, err := r.Placer.Place(w)
+	lease, err := r.Placer.Place(ctx, w)
 	if err != nil {
-		// The decode engines decide whether there is room.
-		return nil
+		return err
 	}
 	outcome := placement.Lost
 	defer func() { r.ended(lease, outcome, err) }()
-	watch := r.newWatch(ctx)
-	defer watch.stop()
-	handle, err := r.Backend.Prefill(watch.ctx, lease.Server(), r.transmission())
+	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission())
 	r.prefills++
 	if err == nil {
 		lease.First()
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -62,9 +62,9 @@
 // attempt sends the request to one server. done means that the error is final.
 func (r *run) attempt(ctx context.Context) (done bool, err error) {
 	if err := r.prepare(ctx); err != nil {
-		return false, err
+		return true, r.refusal(ctx, fault.From(err))
 	}
-	lease, err := r.Placer.Place(r.work())
+	lease, err := r.Placer.Place(ctx, r.work())
 	if err != nil {
 		return true, r.refusal(ctx, fault.From(err))
 	}
@@ -90,7 +90,8 @@
 	fields := []any{
 		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", chosen.Stage.String(),
 		"outcome", outcome.String(), "first_ms", lease.Took().Milliseconds(), "age_ms", time.Since(r.req.Arrived).Milliseconds(),
-		"running", chosen.Running, "queued", chosen.Queued, "missing", chosen.Missing, "slowness", chosen.Slowness,
+		"running", chosen.Running, "queued", int(chosen.Queued), "missing", int(chosen.Missing),
+		"home", chosen.Home, "predicted_ms", chosen.Reading.Milliseconds(), "slowness", chosen.Slowness,
 		"candidates", chosen.Candidates,
 	}
 	if err != nil {
@@ -106,6 +107,7 @@
 		PromptTokens: r.req.Prompt.Tokens,
 		Parts:        r.parts,
 		Exclude:      r.exclude,
+		Patience:     r.patience(),
 	}
 	if r.cache != nil {
 		w.Stage = placement.Decode
@@ -113,6 +115,23 @@
 	return w
 }
 
+// Callers leave a stream that brings nothing for the longest of these.
+const (
+	callerPatience    = 2 * time.Second
+	patienceObjective = 4
+	patienceGap       = 8
+)
+
+// patience is how long the caller still waits for the first sign of an answer.
+func (r *run) patience() time.Duration {
+	left := time.Until(r.deadline)
+	if r.route.Kind != routes.Stream {
+		return left
+	}
+	waits := max(callerPatience, patienceObjective*r.route.Objective, patienceGap*r.route.MaxGap)
+	return min(left, waits-time.Since(r.req.Arrived))
+}
+
 // send transmits the request within the retry budget.
 func (r *run) send(ctx context.Context, lease *placement.Lease) (Reply, error) {
 	server := lease.Server()
