--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -113,6 +113,7 @@
 		LoadsTerm:    b.own.ViewTerm,
 		LoadsSeq:     b.own.ViewSeq,
 		Demands:      b.own.Demands,
+		Pressures:    b.own.Pressures,
 		Replica:      b.replicaID(),
 		Stopped:      b.stopped,
 	}
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -16,7 +16,7 @@
 	choice        Choice
 	reads         *reading
 	placed        time.Time
-	ended         bool
+	read, ended   bool
 }
 
 func (s *State) begin(now time.Time, w Work, c Candidate, candidates int) *Run {
@@ -28,6 +28,7 @@
 		r.reads = s.reading(&w)
 	}
 	srv.own++
+	s.open[r] = struct{}{}
 	srv.ownTokens += r.tokens
 	// What a decode engine fetches it keeps like what it read.
 	srv.cache.add(w.Parts)
@@ -38,9 +39,13 @@
 func (r *Run) Server() fleet.Server { return r.server.Server }
 
 // Read notes that the prompt has been read.
-func (r *Run) Read() {
+func (r *Run) Read(now time.Time) {
+	if r.read {
+		return
+	}
+	r.read = true
 	r.server.ownTokens -= r.tokens
-	r.tokens = 0
+	r.state.pressed(now, &r.work, now.Sub(r.work.Arrived))
 }
 
 // learn notes the reading time. An end without a sign of the answer counts when
@@ -65,7 +70,8 @@
 		return
 	}
 	r.ended = true
-	r.Read()
+	r.Read(now)
+	delete(r.state.open, r)
 	r.server.own--
 	r.state.serveLine(now, r.server)
 	r.learn(now, res.Took)
--- a/root/traffic/usage/usage.go
+++ b/root/traffic/usage/usage.go
@@ -22,6 +22,8 @@
 	Loads() []fleet.OwnLoad
 	// Demands returns the demand for each class.
 	Demands() []fleet.Demand
+	// Pressures returns how engines keep the objectives.
+	Pressures() []fleet.Pressure
 }
 
 // Dispatched is the source of a process whose requests wait in line for a place.
@@ -49,6 +51,9 @@
 	return out
 }
 
+// Pressures implements Source: the own front has no objectives.
+func (d Dispatched) Pressures() []fleet.Pressure { return nil }
+
 // Placed is the source of a process whose requests are placed at once.
 type Placed struct{ *placement.Placer }
 
@@ -96,5 +101,6 @@
 	}
 	out.Loads = r.source.Loads()
 	out.Demands = r.source.Demands()
+	out.Pressures = r.source.Pressures()
 	return out
 }
