--- a/api/codec/fleet.go
+++ b/api/codec/fleet.go
@@ -170,24 +170,6 @@
 	return out
 }
 
-func fromPressures(pressures []fleet.Pressure) []*api.Pressure {
-	out := make([]*api.Pressure, 0, len(pressures))
-	for _, p := range pressures {
-		out = append(out, &api.Pressure{Service: p.Service, Role: uint32(p.Role), Mean: p.Mean, Weight: p.Weight})
-	}
-	return out
-}
-
-func toPressures(pressures []*api.Pressure) []fleet.Pressure {
-	out := make([]fleet.Pressure, 0, len(pressures))
-	for _, p := range pressures {
-		out = append(out, fleet.Pressure{
-			Service: p.GetService(), Role: fleet.Role(p.GetRole()), Mean: p.GetMean(), Weight: p.GetWeight(),
-		})
-	}
-	return out
-}
-
 func fromShares(shares []fleet.Share) []*api.Share {
 	out := make([]*api.Share, 0, len(shares))
 	for _, s := range shares {
--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -124,7 +124,6 @@
 		LoadsTerm:    m.LoadsTerm,
 		LoadsSeq:     m.LoadsSeq,
 		Demands:      fromDemands(m.Demands),
-		Pressures:    fromPressures(m.Pressures),
 	}
 	for _, h := range m.Heard {
 		out.Heard = append(out.Heard, &api.Heard{Server: fromServer(h.Server), AgeNanos: int64(h.Age)})
@@ -145,7 +144,6 @@
 		LoadsTerm:    p.LoadsTerm,
 		LoadsSeq:     p.LoadsSeq,
 		Demands:      toDemands(p.Demands),
-		Pressures:    toPressures(p.Pressures),
 	}
 	for _, h := range p.Heard {
 		out.Heard = append(out.Heard, toHeard(h))
--- a/root/control/fleet/report.go
+++ b/root/control/fleet/report.go
@@ -25,16 +25,6 @@
 	RatePerSecond float64
 }
 
-// Pressure says how engines of one role keep a service's objectives, as one
-// process sees it.
-type Pressure struct {
-	Service string
-	Role    Role
-	// Mean is the time to the first sign of an answer in objectives, 1 when just
-	// kept. Weight is the number of recent requests that it stands for.
-	Mean, Weight float64
-}
-
 // Share is one process's share of a class's fleet-wide limits, 0 to 1.
 type Share struct {
 	Class    string
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -195,14 +195,6 @@
 	return changed
 }
 
-// SetRole notes a role that a server is known to have taken before it announces
-// it.
-func (t *Tracker) SetRole(id string, role Role) {
-	if e := t.servers[id]; e != nil {
-		e.server.Role = role
-	}
-}
-
 // VM returns the VM with the given id.
 func (t *Tracker) VM(id string) (VM, bool) {
 	e := t.vms[id]
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -82,10 +82,7 @@
 	OpenMembership bool
 	// LeaseOptional lets this entry go on by its last view without a lease.
 	LeaseOptional bool
-	// PlanRoles lets the leader change the roles of engines. Their servers refuse
-	// old fencing numbers, and finish their streams before a change by themselves.
-	PlanRoles bool
-	Timing    Timing
+	Timing        Timing
 	// CompactEvery is the number of applied entries between snapshots.
 	CompactEvery uint64
 }
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -39,7 +39,6 @@
 	loadsAt time.Time
 	orders  *orders
 	shares  *shares
-	roles   *roleKeeper
 	// partialUntil is when the picture of the fleet counts as whole.
 	partialUntil time.Time
 	// reads holds the linearizable reads that wait for the log.
@@ -55,7 +54,6 @@
 	seq          uint64
 	tableVersion uint64
 	demands      []fleet.Demand
-	pressures    []fleet.Pressure
 	// loads are its own requests per backend server, counted while the view
 	// loadsSeq of this term was in force for its traffic.
 	loads    []fleet.OwnLoad
@@ -85,7 +83,6 @@
 	}
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
-	l.roles = &roleKeeper{l: l, pending: map[string]roleWish{}, changed: map[string]time.Time{}}
 	l.rebuild()
 	return l
 }
@@ -224,7 +221,6 @@
 	h.vm = msg.VM
 	h.until = l.m.now.Add(lease)
 	h.demands = msg.Demands
-	h.pressures = msg.Pressures
 	h.loads = msg.Loads
 	h.loadsSeq = 0
 	if msg.LoadsTerm == l.term {
@@ -268,7 +264,6 @@
 	l.dropHolders()
 	l.checkInForce()
 	l.orders.advance()
-	l.roles.plan()
 	if !now.Before(l.ledgerAt) {
 		l.ledgerAt = now.Add(l.m.cfg.Timing.LedgerTick)
 		l.commit(replicated.Tick{}, proposer{})
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -113,7 +113,6 @@
 		LoadsTerm:    b.own.ViewTerm,
 		LoadsSeq:     b.own.ViewSeq,
 		Demands:      b.own.Demands,
-		Pressures:    b.own.Pressures,
 		Replica:      b.replicaID(),
 		Stopped:      b.stopped,
 	}
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -31,8 +31,6 @@
 	LoadsTerm, LoadsSeq uint64
 	// Demands are the sender's demand per class.
 	Demands []fleet.Demand
-	// Pressures say how engines keep the objectives of the sender's requests.
-	Pressures []fleet.Pressure
 	// Replica is the consensus identity of the sender; empty without a replica part.
 	Replica consensus.NodeID
 	// Stopped is set in the last Renew of a process that has drained.
@@ -116,7 +114,6 @@
 	ViewTerm, ViewSeq uint64
 	Loads             []fleet.OwnLoad
 	Demands           []fleet.Demand
-	Pressures         []fleet.Pressure
 }
 
 // Persisted reports that the write with this sequence number is durable.
--- a/root/control/machine/orders.go
+++ b/root/control/machine/orders.go
@@ -98,7 +98,7 @@
 	for _, server := range sortedKeys(o.by) {
 		ord := o.by[server]
 		switch {
-		case ord.phase == orderDraining && (o.l.m.cfg.PlanRoles || o.isQuiet(ord)):
+		case ord.phase == orderDraining && o.isQuiet(ord):
 			o.acquire(ord)
 		case ord.recovers && ord.phase == orderAcquiring && !o.l.m.now.Before(ord.retryAt):
 			o.acquire(ord)
@@ -236,9 +236,6 @@
 // end answers the requests and lets the server take work again.
 func (o *orders) end(ord *order, result replicated.Result) {
 	delete(o.by, ord.server)
-	if result.Err == nil && result.Authority.Order.State == authority.Succeeded && ord.action.Kind == authority.ChangeRole {
-		o.l.fleet.SetRole(ord.server, ord.action.Role)
-	}
 	if result.Err == nil && result.Authority.Order.State == authority.Failed {
 		result.Err = fault.New(fault.BackendFailed, part, "%q did not carry out the order", ord.server).WithRan(fault.RanNo)
 	}
--- a/root/orders/orders.go
+++ b/root/orders/orders.go
@@ -4,12 +4,19 @@
 package orders
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 )
 
@@ -30,35 +37,21 @@
 	queueLength = 4096
 )
 
-// Protocol speaks to backend servers about orders.
-type Protocol interface {
-	// Send transmits an order and waits for it to be carried out. Repeating it
-	// under the same number changes nothing more. An error says that the outcome
-	// is not definite.
-	Send(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error)
-	// Observe finds out whether an order took effect.
-	Observe(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error)
-	// LateLimit is how long a try without an answer may still take effect.
-	LateLimit() time.Duration
-	// Fences says that Observe keeps the order from taking effect later.
-	Fences() bool
-}
-
 // Sender is the service that sends orders, each from a goroutine of its own.
 type Sender struct {
-	queue    chan machine.IssueOrder
-	done     func(machine.OrderDone)
-	protocol Protocol
-	log      logr.Logger
+	queue  chan machine.IssueOrder
+	done   func(machine.OrderDone)
+	client *http.Client
+	log    logr.Logger
 }
 
 // New returns a sender. done is told the definite outcome of each order.
-func New(done func(machine.OrderDone), protocol Protocol, log logr.Logger) *Sender {
+func New(done func(machine.OrderDone), log logr.Logger) *Sender {
 	return &Sender{
-		queue:    make(chan machine.IssueOrder, queueLength),
-		done:     done,
-		protocol: protocol,
-		log:      log,
+		queue:  make(chan machine.IssueOrder, queueLength),
+		done:   done,
+		client: &http.Client{Timeout: answerTimeout},
+		log:    log,
 	}
 }
 
@@ -89,10 +82,6 @@
 func (s *Sender) carry(ctx context.Context, o machine.IssueOrder) {
 	// uncertainAt is when an earlier try ended without an answer.
 	var uncertainAt time.Time
-	if o.Observe && !s.protocol.Fences() {
-		// Its sender may have tried until just now.
-		uncertainAt = time.Now()
-	}
 	for wait := retryFirst; ctx.Err() == nil; wait = min(2*wait, retryMost) {
 		done, err := s.try(ctx, o, uncertainAt)
 		if err == nil {
@@ -100,9 +89,7 @@
 			s.done(done)
 			return
 		}
-		if !o.Observe {
-			uncertainAt = time.Now()
-		}
+		uncertainAt = time.Now()
 		s.log.Info("an order has no definite answer yet", "server", o.Server.ID, "fence", o.Order.Fence, "reason", err.Error())
 		pause(ctx, wait)
 	}
@@ -119,19 +106,20 @@
 
 // try returns the definite outcome or an error when there is none yet.
 func (s *Sender) try(ctx context.Context, o machine.IssueOrder, uncertainAt time.Time) (machine.OrderDone, error) {
-	if !o.Observe {
-		done, err := s.protocol.Send(ctx, o)
-		if err != nil || done.Applied || uncertainAt.IsZero() {
-			return done, err
-		}
+	if o.Observe {
+		return s.observe(ctx, o)
+	}
+	done, err := s.send(ctx, o)
+	if err != nil || done.Applied || uncertainAt.IsZero() {
+		return done, err
 	}
-	// A refusal speaks of this try; an earlier one may have taken effect or do
+	// The refusal speaks of this try; an earlier one may have taken effect or do
 	// so yet. Its connection has been closed for at least that long.
-	seen, err := s.protocol.Observe(ctx, o)
-	if err != nil || seen.Applied || uncertainAt.IsZero() {
+	seen, err := s.observe(ctx, o)
+	if err != nil || seen.Applied {
 		return seen, err
 	}
-	if time.Since(uncertainAt) < s.protocol.LateLimit() {
+	if time.Since(uncertainAt) < lateLimit {
 		return seen, errLate
 	}
 	return seen, nil
@@ -139,3 +127,131 @@
 
 // errLate says that an earlier try may still take effect.
 var errLate = errors.New("an earlier try may still take effect")
+
+// send repeats the same order under the same number, which changes nothing more.
+func (s *Sender) send(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error) {
+	body, err := json.Marshal(encode(o.Order))
+	if err != nil {
+		return machine.OrderDone{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, o.Server.Address+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return machine.OrderDone{}, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	status, reply, err := s.exchange(req)
+	if err != nil {
+		return machine.OrderDone{}, err
+	}
+	out := machine.OrderDone{Server: o.Server.ID, Fence: o.Order.Fence, Observed: reply.describe()}
+	switch {
+	case status == http.StatusOK:
+		out.Applied = true
+		return out, nil
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		out.Observed = fmt.Sprintf("refused with status %d", status)
+		return out, nil
+	default:
+		return out, fmt.Errorf("status %d", status)
+	}
+}
+
+// observe raises the server's fencing number, so that the order can't take
+// effect later, and reads whether it did.
+func (s *Sender) observe(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.Server.Address+"/v1/state", nil)
+	if err != nil {
+		return machine.OrderDone{}, err
+	}
+	req.Header.Set(FenceHeader, strconv.FormatUint(o.Number, 10))
+	status, reply, err := s.exchange(req)
+	if err != nil {
+		return machine.OrderDone{}, err
+	}
+	if status != http.StatusOK {
+		return machine.OrderDone{}, fmt.Errorf("status %d", status)
+	}
+	return machine.OrderDone{
+		Server: o.Server.ID, Fence: o.Order.Fence, Applied: reply.shows(o.Order), Observed: reply.describe(),
+	}, nil
+}
+
+func (s *Sender) exchange(req *http.Request) (int, State, error) {
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, State{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return 0, State{}, err
+	}
+	var state State
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, &state); err != nil {
+			return 0, State{}, err
+		}
+	}
+	return resp.StatusCode, state, nil
+}
+
+// Order is the JSON form of an order to a backend server.
+type Order struct {
+	// Fence is the fencing number; a server that checks refuses an old one.
+	Fence uint64 `json:"fence"`
+	// Action is load_model, load_adapter, load_version or change_role.
+	Action  string `json:"action"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// State is the JSON form of a backend server's own state.
+type State struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Fence is the highest fencing number seen.
+	Fence uint64 `json:"fence"`
+	Role  string `json:"role"`
+	// Done are the latest orders that took effect since the server's start.
+	Done []Order `json:"done"`
+}
+
+// Names of the actions.
+const (
+	ActionLoadModel   = "load_model"
+	ActionLoadAdapter = "load_adapter"
+	ActionLoadVersion = "load_version"
+	ActionChangeRole  = "change_role"
+)
+
+func encode(o authority.Order) Order {
+	out := Order{Fence: o.Fence, Model: o.Action.Model, Adapter: o.Action.Adapter, Version: o.Action.Version}
+	switch o.Action.Kind {
+	case authority.LoadModel:
+		out.Action = ActionLoadModel
+	case authority.LoadAdapter:
+		out.Action = ActionLoadAdapter
+	case authority.LoadVersion:
+		out.Action = ActionLoadVersion
+	case authority.ChangeRole:
+		out.Action = ActionChangeRole
+		out.Role = o.Action.Role.String()
+	}
+	return out
+}
+
+// shows reports whether the order took effect. A server that has restarted
+// since is judged by its role.
+func (s State) shows(o authority.Order) bool {
+	for _, d := range s.Done {
+		if d.Fence == o.Fence {
+			return true
+		}
+	}
+	return o.Action.Kind == authority.ChangeRole && s.Role == o.Action.Role.String()
+}
+
+func (s State) describe() string {
+	return fmt.Sprintf("incarnation %d, fence %d, role %s", s.Incarnation, s.Fence, s.Role)
+}
--- a/root/process.go
+++ b/root/process.go
@@ -18,7 +18,6 @@
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/fault"
-	"github.com/wagtaildyke/wagtaildyke/platform"
 	"github.com/wagtaildyke/wagtaildyke/root/control"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
@@ -282,13 +281,10 @@
 	if s.Discovery != nil {
 		cfg.OpenMembership, cfg.LeaseOptional = true, true
 	}
-	if s.Platform != nil {
-		cfg.PlanRoles = s.Platform.EnginesCheckFencing
-	}
 	if s.Replica != nil {
 		cfg.CompactEvery = uint64(s.Replica.CompactEveryEntries)
 	}
-	p.orders = orders.New(p.orderDone, p.orderProtocol(), p.log.WithName("orders"))
+	p.orders = orders.New(p.orderDone, p.log.WithName("orders"))
 	l, err := control.New(control.Options{
 		Machine: cfg,
 		Replica: replica,
@@ -311,13 +307,6 @@
 	return err
 }
 
-func (p *Process) orderProtocol() orders.Protocol {
-	if p.settings.Platform != nil {
-		return platform.NewOrders(p.settings.VM)
-	}
-	return orders.NewHTTP()
-}
-
 func (p *Process) orderDone(done machine.OrderDone) {
 	// The inbox keeps this event; the loop outlives the sender.
 	_ = p.loop.Post(context.Background(), done)
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -31,7 +31,6 @@
 // *fault.Error that says that the work has not run.
 func (p *Placer) Place(ctx context.Context, w Work) (*Lease, error) {
 	arrived := time.Now()
-	w.Arrived = arrived
 	patience := w.Patience
 	for {
 		run, item, err := p.try(w)
@@ -65,18 +64,15 @@
 // await waits in line. It returns nil when the work is to be placed anew.
 func (p *Placer) await(ctx context.Context, item *Waiting) (*Run, error) {
 	select {
-	case g := <-item.granted:
-		if g.err != nil {
-			return nil, g.err
-		}
-		return g.run, nil
+	case run := <-item.granted:
+		return run, nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.state.leave(item) {
-		if g := <-item.granted; g.run != nil {
-			g.run.End(time.Now(), Result{Outcome: Abandoned})
+		if run := <-item.granted; run != nil {
+			run.End(time.Now(), Result{Outcome: Abandoned})
 		}
 	}
 	return nil, fault.From(ctx.Err()).WithRan(fault.RanNo)
@@ -96,13 +92,6 @@
 	return p.state.Own()
 }
 
-// Pressures returns how engines keep the objectives, by service and role.
-func (p *Placer) Pressures() []fleet.Pressure {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.state.Pressures(time.Now())
-}
-
 // Entries returns the number of VMs that take callers.
 func (p *Placer) Entries() int {
 	p.mu.Lock()
@@ -136,7 +125,7 @@
 	l.took = max(1, time.Since(l.placed))
 	l.placer.mu.Lock()
 	defer l.placer.mu.Unlock()
-	l.run.Read(time.Now())
+	l.run.Read()
 }
 
 // End gives the place back. Later calls do nothing.
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -16,7 +16,7 @@
 	choice        Choice
 	reads         *reading
 	placed        time.Time
-	read, ended   bool
+	ended         bool
 }
 
 func (s *State) begin(now time.Time, w Work, c Candidate, candidates int) *Run {
@@ -28,7 +28,6 @@
 		r.reads = s.reading(&w)
 	}
 	srv.own++
-	s.open[r] = struct{}{}
 	srv.ownTokens += r.tokens
 	// What a decode engine fetches it keeps like what it read.
 	srv.cache.add(w.Parts)
@@ -39,13 +38,9 @@
 func (r *Run) Server() fleet.Server { return r.server.Server }
 
 // Read notes that the prompt has been read.
-func (r *Run) Read(now time.Time) {
-	if r.read {
-		return
-	}
-	r.read = true
+func (r *Run) Read() {
 	r.server.ownTokens -= r.tokens
-	r.state.pressed(now, &r.work, now.Sub(r.work.Arrived))
+	r.tokens = 0
 }
 
 // learn notes the reading time. An end without a sign of the answer counts when
@@ -70,8 +65,7 @@
 		return
 	}
 	r.ended = true
-	r.Read(now)
-	delete(r.state.open, r)
+	r.Read()
 	r.server.own--
 	r.state.serveLine(now, r.server)
 	r.learn(now, res.Took)
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -61,9 +61,6 @@
 	picker           Picker
 	// readings are learnt by service and stage.
 	readings map[readingKey]*reading
-	// pressures are observed by service and stage; open holds the work under way.
-	pressures map[readingKey]*pressure
-	open      map[*Run]struct{}
 }
 
 // readingKey names the engines that read alike.
@@ -86,9 +83,7 @@
 		prompts: []weighted{{ReadingScorer{}, 1}, {ErrorScorer{}, errorWeight}},
 		picker:  Least{Rand: random, Jitter: jitter},
 
-		readings:  map[readingKey]*reading{},
-		pressures: map[readingKey]*pressure{},
-		open:      map[*Run]struct{}{},
+		readings: map[readingKey]*reading{},
 	}
 }
 
@@ -354,7 +349,7 @@
 	for _, srv := range s.servers {
 		if srv.own > 0 {
 			tokens := int(srv.ownTokens + srv.lineTokens())
-			out = append(out, fleet.OwnLoad{Server: srv.ID, Running: srv.own + len(srv.line), Tokens: tokens})
+			out = append(out, fleet.OwnLoad{Server: srv.ID, Running: srv.own, Tokens: tokens})
 		}
 	}
 	return out
--- a/root/traffic/usage/usage.go
+++ b/root/traffic/usage/usage.go
@@ -22,8 +22,6 @@
 	Loads() []fleet.OwnLoad
 	// Demands returns the demand for each class.
 	Demands() []fleet.Demand
-	// Pressures returns how engines keep the objectives.
-	Pressures() []fleet.Pressure
 }
 
 // Dispatched is the source of a process whose requests wait in line for a place.
@@ -51,9 +49,6 @@
 	return out
 }
 
-// Pressures implements Source: the own front has no objectives.
-func (d Dispatched) Pressures() []fleet.Pressure { return nil }
-
 // Placed is the source of a process whose requests are placed at once.
 type Placed struct{ *placement.Placer }
 
@@ -101,6 +96,5 @@
 	}
 	out.Loads = r.source.Loads()
 	out.Demands = r.source.Demands()
-	out.Pressures = r.source.Pressures()
 	return out
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,9 +81,6 @@
 	RetryRatio         float64 `json:"retry_ratio"`
 	RetryExtra         int     `json:"retry_extra"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds"`
-	// EnginesCheckFencing says that engines refuse orders with an old fencing
-	// number. Only then does the leader change their roles.
-	EnginesCheckFencing bool `json:"engines_check_fencing"`
 }
 
 // Peers sets the sessions between the system's own processes.
