--- a/root/traffic/placement/health.go
+++ b/root/traffic/placement/health.go
@@ -7,6 +7,9 @@
 	// avoided; it doubles with each further loss. A restart takes about a second.
 	firstAvoid = 500 * time.Millisecond
 	mostAvoid  = 4 * time.Second
+	// fullAvoid is how long a server that said it is full gets nothing: it has
+	// served a few requests by then. Its short answers would draw more otherwise.
+	fullAvoid = 250 * time.Millisecond
 	// errorMemory is the weight of a new outcome in a server's share of errors.
 	errorMemory = 0.1
 	// tookMemory is the weight of a new time in a server's average.
@@ -31,6 +34,9 @@
 	switch r.Outcome {
 	case Abandoned:
 		return
+	case Refused:
+		h.avoidUntil = now.Add(fullAvoid)
+		return
 	case Lost:
 		wait := min(firstAvoid<<min(h.losses, 8), mostAvoid)
 		h.losses++
--- a/root/traffic/placement/line.go
+++ b/root/traffic/placement/line.go
@@ -19,8 +19,15 @@
 	choice Candidate
 	others int
 	until  time.Time
-	// granted takes the run, or nil when the work is to be placed anew.
-	granted chan *Run
+	// granted takes what becomes of the work.
+	granted chan grant
+}
+
+// grant ends a wait in line: with a run, with a refusal, or with neither when the
+// work is to be placed anew.
+type grant struct {
+	run *Run
+	err *fault.Error
 }
 
 // ownPrefills is this entry's part of prefillsAtOnce.
@@ -34,7 +41,7 @@
 // enqueue puts work in line for its server.
 func (s *State) enqueue(now time.Time, w Work, c Candidate, others int) *Waiting {
 	srv := s.byID[c.Server.ID]
-	item := &Waiting{server: srv, work: w, choice: c, others: others, granted: make(chan *Run, 1)}
+	item := &Waiting{server: srv, work: w, choice: c, others: others, granted: make(chan grant, 1)}
 	if w.Patience > 0 {
 		item.until = now.Add(w.Patience)
 	}
@@ -54,24 +61,24 @@
 }
 
 // serveLine begins what may begin on the server. Work whose caller would not see
-// the answer any more is placed anew, which refuses it.
+// the answer any more is refused.
 func (s *State) serveLine(now time.Time, srv *server) {
 	for len(srv.line) > 0 && srv.own < s.ownPrefills() {
 		item := srv.line[0]
 		srv.line = srv.line[1:]
-		late := !item.until.IsZero() && now.Add(s.reading(&item.work).predict(item.choice.Missing)).After(item.until)
-		if late {
-			item.granted <- nil
+		reading := s.reading(&item.work).predict(item.choice.Missing)
+		if !item.until.IsZero() && now.Add(reading).After(item.until) {
+			item.granted <- grant{err: errTooLong(reading, item.until.Sub(now))}
 			continue
 		}
-		item.granted <- s.begin(now, item.work, item.choice, item.others)
+		item.granted <- grant{run: s.begin(now, item.work, item.choice, item.others)}
 	}
 }
 
 // dissolve has the work in line for the server placed anew.
 func (srv *server) dissolve() {
 	for _, item := range srv.line {
-		item.granted <- nil
+		item.granted <- grant{}
 	}
 	srv.line = nil
 }
