--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -31,6 +31,7 @@
 // *fault.Error that says that the work has not run.
 func (p *Placer) Place(ctx context.Context, w Work) (*Lease, error) {
 	arrived := time.Now()
+	w.Arrived = arrived
 	patience := w.Patience
 	for {
 		run, item, err := p.try(w)
@@ -64,25 +65,28 @@
 // await waits in line. It returns nil when the work is to be placed anew.
 func (p *Placer) await(ctx context.Context, item *Waiting) (*Run, error) {
 	select {
-	case run := <-item.granted:
-		return run, nil
+	case g := <-item.granted:
+		if g.err != nil {
+			return nil, g.err
+		}
+		return g.run, nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.state.leave(item) {
-		if run := <-item.granted; run != nil {
-			run.End(time.Now(), Result{Outcome: Abandoned})
+		if g := <-item.granted; g.run != nil {
+			g.run.End(time.Now(), Result{Outcome: Abandoned})
 		}
 	}
 	return nil, fault.From(ctx.Err()).WithRan(fault.RanNo)
 }
 
-// HasStage reports whether an active engine of the service takes the stage.
-func (p *Placer) HasStage(service string, stage Stage) bool {
+// Apart reports whether the prompt of the work is to be read apart.
+func (p *Placer) Apart(w Work) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.HasStage(service, stage)
+	return p.state.Apart(w)
 }
 
 // Own returns this entry's load on each server that it uses.
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -69,5 +69,9 @@
 	r.server.own--
 	r.state.serveLine(now, r.server)
 	r.learn(now, res.Took)
+	if r.work.isShort() && res.Took > 0 {
+		waited := r.placed.Sub(r.work.Arrived)
+		r.state.split(r.work.Service).observe(r.work.Stage, waited+res.Took, r.work.Objective)
+	}
 	r.server.health.observe(now, res, r.units)
 }
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -49,6 +49,10 @@
 	line []*Waiting
 }
 
+// SharedTokens is the prompt length from which the parts that prompts share are
+// gathered at homes: a shorter prompt is read in less time than that takes.
+const SharedTokens = 2000
+
 // State holds one entry's decisions. Callers serialise access and pass the time.
 type State struct {
 	domain  string
@@ -61,6 +65,9 @@
 	picker           Picker
 	// readings are learnt by service and stage.
 	readings map[readingKey]*reading
+	// splits are learnt by service.
+	splits map[string]*split
+	random *rand.Rand
 }
 
 // readingKey names the engines that read alike.
@@ -84,6 +91,8 @@
 		picker:  Least{Rand: random, Jitter: jitter},
 
 		readings: map[readingKey]*reading{},
+		splits:   map[string]*split{},
+		random:   random,
 	}
 }
 
@@ -150,8 +159,8 @@
 	}
 }
 
-// HasStage reports whether an active engine of the service takes the stage.
-func (s *State) HasStage(service string, stage Stage) bool {
+// hasStage reports whether an active engine of the service takes the stage.
+func (s *State) hasStage(service string, stage Stage) bool {
 	w := &Work{Service: service, Stage: stage}
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
@@ -293,7 +302,7 @@
 // home returns the engine at which entries gather prompts with the same first
 // part, by rendezvous hashing; nil for work without shared parts.
 func (s *State) home(w *Work) *server {
-	if w.Stage != Prefill || len(w.Parts) < 2 {
+	if w.Stage != Prefill || w.isShort() || len(w.Parts) < 2 {
 		return nil
 	}
 	var best *server
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -45,6 +45,10 @@
 	// Patience is how long the caller waits for the first sign of an answer; 0 for
 	// no bound.
 	Patience time.Duration
+	// Objective is the time to the first sign of an answer on time; 0 for none.
+	Objective time.Duration
+	// Arrived is when the work came to be placed.
+	Arrived time.Time
 }
 
 // Candidate is a server with what this entry knows of it.
@@ -111,6 +115,8 @@
 	Answered Outcome = iota
 	// Errored means that the server answered that it failed.
 	Errored
+	// Refused means that the server said that it is full and ran nothing.
+	Refused
 	// Lost means that the server could not be reached or did not answer.
 	Lost
 	// Abandoned says nothing about the server: the caller went away, or another
@@ -125,6 +131,8 @@
 		return "answered"
 	case Errored:
 		return "errored"
+	case Refused:
+		return "refused"
 	case Lost:
 		return "lost"
 	default:
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// prefillApartTokens is the prompt length from which reading apart beats
-	// reading where the answer is made: a short prompt takes a decode engine less
-	// time than the extra call and the transfer.
-	prefillApartTokens = 2000
 	// maxPrefills bounds the prefill calls of one request.
 	maxPrefills = 2
 	// releaseTimeout bounds the call that frees KV cache without a taker.
@@ -73,8 +69,7 @@
 
 // apart reports whether the prompt is to be read apart.
 func (r *run) apart() bool {
-	return r.service.Engine != nil && r.req.Prompt.Tokens >= prefillApartTokens &&
-		r.prefills < maxPrefills && r.Placer.HasStage(r.service.Name, placement.Prefill)
+	return r.service.Engine != nil && r.prefills < maxPrefills && r.Placer.Apart(r.work())
 }
 
 // hashParts chains the parts, since a cached part counts only after those before it.
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -108,6 +108,7 @@
 		Parts:        r.parts,
 		Exclude:      r.exclude,
 		Patience:     r.patience(),
+		Objective:    r.route.Objective,
 	}
 	if r.cache != nil {
 		w.Stage = placement.Decode
@@ -192,7 +193,7 @@
 	if head.NotRun {
 		r.exclude = append(r.exclude, server)
 		err := fault.New(fault.BackendFailed, part, "%s refused with status %d", server, head.Status)
-		return placement.Abandoned, err.WithRan(fault.RanNo)
+		return placement.Refused, err.WithRan(fault.RanNo)
 	}
 	r.ran = fault.RanYes
 	if head.Stream {
