--- a/root/process.go
+++ b/root/process.go
@@ -269,7 +269,7 @@
 		Views: p.views, Seed: p.incarnation, Entries: len(s.Members), Self: s.VM,
 	})
 	if s.Platform != nil {
-		p.placer = placement.NewPlacer(placement.NewState(s.Self().FailureDomain, p.incarnation))
+		p.placer = placement.NewPlacer(placement.NewState(s.VM, s.Self().FailureDomain, p.incarnation))
 	}
 	cfg := machine.Config{
 		Self: fleet.VM{
--- a/root/traffic/placement/filters.go
+++ b/root/traffic/placement/filters.go
@@ -6,12 +6,13 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
-// ExcludedFilter removes the servers that failed the request.
+// ExcludedFilter removes the servers that failed the request, and all but the
+// only one that may take it.
 type ExcludedFilter struct{}
 
 // Keep implements Filter.
 func (ExcludedFilter) Keep(w *Work, c *Candidate) bool {
-	return !slices.Contains(w.Exclude, c.Server.ID)
+	return !slices.Contains(w.Exclude, c.Server.ID) && (w.Only == "" || w.Only == c.Server.ID)
 }
 
 // ServiceFilter keeps active servers of the work's service.
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -82,11 +82,11 @@
 	return nil, fault.From(ctx.Err()).WithRan(fault.RanNo)
 }
 
-// Apart reports whether the prompt of the work is to be read apart.
-func (p *Placer) Apart(w Work) bool {
+// Way chooses how the prompt of the work is read.
+func (p *Placer) Way(w Work) Way {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.Apart(w)
+	return p.state.Way(time.Now(), w)
 }
 
 // Own returns this entry's load on each server that it uses.
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -16,31 +16,59 @@
 	choice        Choice
 	reads         *reading
 	placed        time.Time
-	ended         bool
+	read, ended   bool
 }
 
 func (s *State) begin(now time.Time, w Work, c Candidate, candidates int) *Run {
 	srv := s.byID[c.Server.ID]
+	// The source is chosen before the server counts as holding the prompt.
+	source := s.source(&w, srv)
 	r := &Run{state: s, server: srv, placed: now, work: w, units: 1 + c.Missing/unitTokens}
-	r.choice = Choice{w.Stage, candidates, c.Running, c.Queued, c.Missing, c.Slowness, c.Reading, c.Home}
+	r.choice = Choice{w.Stage, candidates, c.Running, c.Queued, c.Missing, c.Slowness, c.Reading, c.Home, source}
 	if w.Stage != Decode && w.PromptTokens > 0 {
 		r.tokens = c.Missing
 		r.reads = s.reading(&w)
 	}
 	srv.own++
+	srv.longs += r.longs()
 	srv.ownTokens += r.tokens
 	// What a decode engine fetches it keeps like what it read.
 	srv.cache.add(w.Parts)
 	return r
 }
 
+// longs is 1 for a long prompt that is read where the answer is made.
+func (r *Run) longs() int {
+	if r.work.Stage == Whole && r.work.PromptTokens > 0 && !r.work.isShort() {
+		return 1
+	}
+	return 0
+}
+
+// source returns where the shared parts of a long prompt that is read where the
+// answer is made are copied from: their home, unless the server holds them.
+func (s *State) source(w *Work, srv *server) string {
+	if w.Stage != Whole {
+		return ""
+	}
+	home := s.home(w)
+	if home == nil || srv.cache.missing(w.Parts, w.PromptTokens) <= w.Parts[len(w.Parts)-1].Tokens {
+		return ""
+	}
+	return home.Address
+}
+
 // Server returns the server as it was when the work was placed.
 func (r *Run) Server() fleet.Server { return r.server.Server }
 
 // Read notes that the prompt has been read.
 func (r *Run) Read() {
+	if r.read {
+		return
+	}
+	r.read = true
 	r.server.ownTokens -= r.tokens
-	r.tokens = 0
+	r.server.longs -= r.longs()
 }
 
 // learn notes the reading time. An end without a sign of the answer counts when
--- a/root/traffic/placement/split.go
+++ b/root/traffic/placement/split.go
@@ -65,12 +65,3 @@
 // isShort reports whether the work has a prompt that is read where the answer is
 // made unless that takes longer.
 func (w *Work) isShort() bool { return w.PromptTokens > 0 && w.PromptTokens < SharedTokens }
-
-// Apart reports whether the prompt of the work is to be read apart: a long one
-// always is, where an engine does that.
-func (s *State) Apart(w Work) bool {
-	if w.PromptTokens == 0 || !s.hasStage(w.Service, Prefill) {
-		return false
-	}
-	return !w.isShort() || s.random.Float64() < s.split(w.Service).share
-}
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -47,6 +47,8 @@
 	health            health
 	// line is the work that waits for this server.
 	line []*Waiting
+	// longs counts this entry's long prompts that the server reads and answers.
+	longs int
 }
 
 // SharedTokens is the prompt length from which the parts that prompts share are
@@ -55,11 +57,13 @@
 
 // State holds one entry's decisions. Callers serialise access and pass the time.
 type State struct {
-	domain  string
-	view    *view.View
-	servers []*server
-	byID    map[string]*server
-	filters []Filter
+	self, domain string
+	// index is this entry's rank among the entries.
+	index, entries int
+	view           *view.View
+	servers        []*server
+	byID           map[string]*server
+	filters        []Filter
 	// scorers rank servers for whole requests and decoding, prompts for prefill.
 	scorers, prompts []weighted
 	picker           Picker
@@ -76,12 +80,14 @@
 	prefill bool
 }
 
-// NewState returns the state of an entry in a failure domain. Equal seeds make
-// equal choices.
-func NewState(domain string, seed uint64) *State {
+// NewState returns the state of the entry on a VM in a failure domain. Equal seeds
+// make equal choices.
+func NewState(self, domain string, seed uint64) *State {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 	return &State{
+		self:    self,
 		domain:  domain,
+		entries: 1,
 		byID:    map[string]*server{},
 		filters: []Filter{ServiceFilter{}, StageFilter{}, ExcludedFilter{}},
 		scorers: []weighted{
@@ -102,6 +108,7 @@
 		return
 	}
 	s.view = v
+	s.rank(v.VMs)
 	seen := make(map[string]bool, len(v.Servers))
 	for _, next := range v.Servers {
 		seen[next.ID] = true
@@ -240,7 +247,7 @@
 		c.Running = float64(srv.own) + max(0, float64(srv.Load.Running-srv.ownAtReport))
 		c.Queued = srv.queued(now, reads)
 		c.Home = srv == home
-		c.Missing = float64(srv.missing(w, c.Home))
+		c.Missing = float64(srv.missing(w, home != nil && (c.Home || w.Stage == Whole)))
 		if w.PromptTokens > 0 && w.Stage != Decode {
 			c.Reading = reads.predict(c.Queued + c.Missing)
 		}
@@ -287,29 +294,30 @@
 }
 
 // missing returns the prompt tokens that the server's cache likely lacks. The
-// home of a prompt is taken to hold what other requests share: every entry
-// sends them there.
-func (srv *server) missing(w *Work, home bool) int {
+// home of a prompt is taken to hold what other requests share: every entry sends
+// them there, and an engine that answers copies it from there.
+func (srv *server) missing(w *Work, shared bool) int {
 	if w.PromptTokens == 0 {
 		return 0
 	}
-	if home && len(w.Parts) > 1 {
-		return w.Parts[len(w.Parts)-1].Tokens
+	held := srv.cache.missing(w.Parts, w.PromptTokens)
+	if shared && len(w.Parts) > 1 {
+		return min(held, w.Parts[len(w.Parts)-1].Tokens)
 	}
-	return srv.cache.missing(w.Parts, w.PromptTokens)
+	return held
 }
 
 // home returns the engine at which entries gather prompts with the same first
 // part, by rendezvous hashing; nil for work without shared parts.
 func (s *State) home(w *Work) *server {
-	if w.Stage != Prefill || w.isShort() || len(w.Parts) < 2 {
+	if w.Stage == Decode || w.isShort() || len(w.Parts) < 2 {
 		return nil
 	}
 	var best *server
 	var bestScore uint64
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if !(ServiceFilter{}).Keep(w, &c) || !(StageFilter{}).Keep(w, &c) {
+		if !(ServiceFilter{}).Keep(w, &c) || srv.Role != fleet.Prefill {
 			continue
 		}
 		if score := rendezvous(w.Parts[0].Hash, srv.ID); best == nil || score > bestScore {
@@ -365,14 +373,4 @@
 }
 
 // Entries returns the number of VMs in the view that take callers, at least 1.
-func (s *State) Entries() int {
-	n := 0
-	if s.view != nil {
-		for _, vm := range s.view.VMs {
-			if vm.Address != "" {
-				n++
-			}
-		}
-	}
-	return max(1, n)
-}
+func (s *State) Entries() int { return s.entries }
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -42,6 +42,8 @@
 	Parts []Part
 	// Exclude lists the servers that failed this request.
 	Exclude []string
+	// Only names the one server that may take the work; empty for any.
+	Only string
 	// Patience is how long the caller waits for the first sign of an answer; 0 for
 	// no bound.
 	Patience time.Duration
@@ -149,6 +151,9 @@
 	Running, Queued, Missing, Slowness float64
 	Reading                            time.Duration
 	Home                               bool
+	// Source is the base URL of the engine from whose KV cache the shared parts of
+	// the prompt are copied; empty for none.
+	Source string
 }
 
 // Result describes the end of a placed request.
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -19,13 +19,19 @@
 	releaseTimeout = 500 * time.Millisecond
 )
 
-// prepare has a long prompt read apart. Without an engine for that, or after a
-// refusal, the request goes whole to one server.
+// prepare has the prompt read apart where that is better. Otherwise, or after a
+// failure, the request goes whole to one server.
 func (r *run) prepare(ctx context.Context) (err error) {
 	if r.parts == nil {
 		r.parts = hashParts(r.req.Prompt)
 	}
-	if r.cache != nil || !r.apart() {
+	r.only = ""
+	if r.cache != nil || r.service.Engine == nil || r.prefills >= maxPrefills {
+		return nil
+	}
+	way := r.Placer.Way(r.work())
+	if !way.Apart {
+		r.only = way.Server
 		return nil
 	}
 	if r.prefills > 0 && !r.Retries.Take(r.service.Name, time.Now()) {
@@ -39,7 +45,7 @@
 	}
 	outcome := placement.Lost
 	defer func() { r.ended(lease, outcome, err) }()
-	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission())
+	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(""))
 	r.prefills++
 	if err == nil {
 		lease.First()
@@ -67,11 +73,6 @@
 	r.sends++
 }
 
-// apart reports whether the prompt is to be read apart.
-func (r *run) apart() bool {
-	return r.service.Engine != nil && r.prefills < maxPrefills && r.Placer.Apart(r.work())
-}
-
 // hashParts chains the parts, since a cached part counts only after those before it.
 func hashParts(p Prompt) []placement.Part {
 	h := xxhash.New()
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -66,6 +66,9 @@
 	Urgency int
 	// Cache names KV cache that was prefilled elsewhere; nil for none.
 	Cache *CacheHandle
+	// CopyFrom is the base URL of the engine from whose KV cache the shared parts of
+	// the prompt are copied first; empty for none.
+	CopyFrom string
 	// MaxConnections bounds this process's connections to the server; 0 for no bound.
 	MaxConnections int
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -39,6 +39,8 @@
 	// cache is KV cache that waits for its taker; prefills counts the calls for one.
 	cache    *CacheHandle
 	prefills int
+	// only names the one server that is to take the request whole; empty for any.
+	only string
 	// ran is the strongest claim about what ran so far.
 	ran fault.Ran
 }
@@ -107,6 +109,7 @@
 		PromptTokens: r.req.Prompt.Tokens,
 		Parts:        r.parts,
 		Exclude:      r.exclude,
+		Only:         r.only,
 		Patience:     r.patience(),
 		Objective:    r.route.Objective,
 	}
@@ -139,7 +142,7 @@
 	if r.sends > 0 && !r.Retries.Take(r.service.Name, time.Now()) {
 		return nil, r.errBudget()
 	}
-	reply, err := r.Backend.Send(ctx, server, r.transmission())
+	reply, err := r.Backend.Send(ctx, server, r.transmission(lease.Choice().Source))
 	if err == nil {
 		r.sends++
 		r.cache = nil
@@ -149,13 +152,14 @@
 }
 
 // transmission describes one transmission of the request.
-func (r *run) transmission() Attempt {
+func (r *run) transmission(copyFrom string) Attempt {
 	return Attempt{
 		Request:        r.req,
 		Deadline:       r.deadline,
 		After:          r.after,
 		Urgency:        r.route.Priority,
 		Cache:          r.cache,
+		CopyFrom:       copyFrom,
 		MaxConnections: r.maxConnections(),
 	}
 }
