--- a/root/traffic/placement/spare.go
+++ b/root/traffic/placement/spare.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// spareShare is the used share of its slots up to which a decode engine has
-	// time to read a long prompt.
-	spareShare = 0.25
+	// spareRunning is the number of requests up to which a decode engine has time to
+	// read a long prompt: each of them is slowed for as long as that takes.
+	spareRunning = 3
 	// spareMargin is how much sooner than the home a decode engine must have read a
 	// prompt: its reading slows the answers under way there.
 	spareMargin = 150 * time.Millisecond
@@ -57,7 +57,7 @@
 	best, id := limit, ""
 	for i, c := range s.candidates(now, &w) {
 		srv := s.byID[c.Server.ID]
-		if !s.isOwn(i) || srv.longs > 0 || c.Avoided || c.Running > spareShare*float64(c.Server.Slots) {
+		if !s.isOwn(i) || srv.longs > 0 || c.Avoided || c.Running > spareRunning {
 			continue
 		}
 		if c.Reading < best {
