--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -16,8 +16,8 @@
 
 const (
 	// domainWeight is the load for which a server of another failure domain is
-	// preferred: a tenth of its slots.
-	domainWeight = 0.1
+	// preferred: a fifth of its slots.
+	domainWeight = 0.2
 	// errorWeight makes a server that always fails worse than a full one.
 	errorWeight = 2.0
 	// jitter spreads choices between servers of about equal load.
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// decodeReserve is kept from the caller's patience for what follows the reading
+	// of a prompt: the transfer and the first event.
+	decodeReserve = 400 * time.Millisecond
 	// maxPrefills bounds the prefill calls of one request.
 	maxPrefills = 2
 	// releaseTimeout bounds the call that frees KV cache without a taker.
@@ -39,6 +42,7 @@
 	}
 	w := r.work()
 	w.Stage = placement.Prefill
+	w.Patience = max(1, w.Patience-decodeReserve)
 	lease, err := r.Placer.Place(ctx, w)
 	if err != nil {
 		return err
