--- /dev/null
+++ b/root/control/fleet/sequence_test.go
@@ -0,0 +1,70 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+)
+
+func announced(id string, incarnation, sequence uint64, state fleet.State) fleet.Server {
+	return fleet.Server{ID: id, Address: "http://10.0.0.1:80", Incarnation: incarnation, Sequence: sequence, State: state}
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	tr := fleet.NewTracker(timing)
+	now := time.Unix(1000, 0)
+	tr.HearServer(announced("a", 5, 7, fleet.Draining), now)
+	tr.HearServer(announced("a", 5, 6, fleet.Active), now.Add(time.Second))
+	s, _ := tr.Server("a")
+	c.Assert(s.State, qt.Equals, fleet.Draining)
+	tr.HearServer(announced("a", 5, 8, fleet.Active), now)
+	s, _ = tr.Server("a")
+	c.Assert(s.State, qt.Equals, fleet.Active)
+	tr.HearServer(announced("a", 4, 99, fleet.Leaving), now.Add(time.Second))
+	s, _ = tr.Server("a")
+	c.Assert(s.State, qt.Equals, fleet.Active)
+}
+
+func TestALeaveIsFinalForAnIncarnation(t *testing.T) {
+	c := qt.New(t)
+	tr := fleet.NewTracker(timing)
+	now := time.Unix(1000, 0)
+	tr.HearServer(announced("a", 5, 1<<60, fleet.Leaving), now)
+	tr.HearServer(announced("a", 5, 9, fleet.Active), now.Add(time.Second))
+	s, _ := tr.Server("a")
+	c.Assert(s.State, qt.Equals, fleet.Leaving)
+	tr.HearServer(announced("a", 6, 1, fleet.Active), now.Add(time.Second))
+	s, _ = tr.Server("a")
+	c.Assert(s.State, qt.Equals, fleet.Active)
+}
+
+// TestTheLaterStartHoldsAnAddress plays an announcement of a crashed server that
+// arrives after another one has started at its address.
+func TestTheLaterStartHoldsAnAddress(t *testing.T) {
+	c := qt.New(t)
+	tr := fleet.NewTracker(timing)
+	now := time.Unix(1000, 0)
+	tr.HearServer(announced("old", 5, 1, fleet.Active), now)
+	tr.HearServer(announced("new", 6, 1, fleet.Active), now)
+	c.Assert(tr.HearServer(announced("old", 5, 2, fleet.Active), now.Add(time.Second)), qt.IsFalse)
+	servers := tr.Servers()
+	c.Assert(servers, qt.HasLen, 1)
+	c.Assert(servers[0].ID, qt.Equals, "new")
+}
+
+func TestVMsHaveTheirOwnBoundOnSilence(t *testing.T) {
+	c := qt.New(t)
+	tr := fleet.NewTracker(fleet.Timing{SuspectAfter: 5 * time.Second, VMSuspectAfter: time.Second, RemoveAfter: time.Minute})
+	now := time.Unix(1000, 0)
+	tr.HearVM(fleet.VM{ID: "vm"}, now)
+	tr.HearServer(announced("a", 5, 1, fleet.Active), now)
+	c.Assert(tr.Expire(now.Add(2*time.Second)), qt.IsTrue)
+	vm, _ := tr.VM("vm")
+	s, _ := tr.Server("a")
+	c.Assert(vm.State, qt.Equals, fleet.Suspected)
+	c.Assert(s.State, qt.Equals, fleet.Active)
+}
--- /dev/null
+++ b/root/control/view/partial_test.go
@@ -0,0 +1,73 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
+	"github.com/wagtaildyke/wagtaildyke/root/control/table"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+func servers(ids ...string) []fleet.Server {
+	var out []fleet.Server
+	for _, id := range ids {
+		out = append(out, fleet.Server{ID: id})
+	}
+	return out
+}
+
+// TestAPartialViewTakesNobodyAway follows a leader that took over without a view
+// and hears of the servers one by one.
+func TestAPartialViewTakesNobodyAway(t *testing.T) {
+	c := qt.New(t)
+	j := view.NewJournal(9)
+	j.SetPartial(true)
+	j.Set(table.Table{}, nil, servers("b"), nil)
+	follower := &view.View{Term: 8, Seq: 40, Servers: servers("a", "b")}
+	next, ok := j.Since(0).Apply(follower)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Servers, qt.DeepEquals, servers("a", "b"))
+	j.SetPartial(false)
+	j.Set(table.Table{}, nil, servers("b"), nil)
+	next, ok = j.Since(next.Seq).Apply(next)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Servers, qt.DeepEquals, servers("b"))
+}
+
+// TestRoutesNeverGoBack applies a later view that carries an older document.
+func TestRoutesNeverGoBack(t *testing.T) {
+	c := qt.New(t)
+	follower := &view.View{Term: 8, Seq: 40, Routes: &routes.Document{Version: 7}}
+	older := &view.Update{Term: 9, Seq: 1, Routes: &routes.Document{Version: 5}}
+	next, ok := older.Apply(follower)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Routes.Version, qt.Equals, uint64(7))
+	newer := &view.Update{Term: 9, Seq: 2, Routes: &routes.Document{Version: 8}}
+	next, ok = newer.Apply(next)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Routes.Version, qt.Equals, uint64(8))
+}
+
+func TestViewsCarryRoutesWithoutSource(t *testing.T) {
+	c := qt.New(t)
+	j := view.NewJournal(1)
+	j.Set(table.Table{}, &routes.Document{Version: 3, Source: []byte("text")}, nil, nil)
+	c.Assert(j.Current().Routes.Version, qt.Equals, uint64(3))
+	c.Assert(j.Current().Routes.Source, qt.IsNil)
+	seq := j.Current().Seq
+	j.Set(table.Table{}, &routes.Document{Version: 3}, servers("a"), nil)
+	c.Assert(j.Since(seq).Routes, qt.IsNil)
+}
+
+func TestAnEntryMayGoOnWithoutALease(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	c.Assert((&view.View{Term: 1}).InForce(now), qt.IsFalse)
+	c.Assert((&view.View{LeaseOptional: true}).InForce(now), qt.IsFalse)
+	c.Assert((&view.View{Term: 1, LeaseOptional: true}).InForce(now), qt.IsTrue)
+	c.Assert((&view.View{Term: 1, LeaseOptional: true, Stopping: true}).Ready(now), qt.IsFalse)
+}
