--- a/api/codec/command.go
+++ b/api/codec/command.go
@@ -41,7 +41,11 @@
 	case replicated.Tick:
 		m.Body = &api.LogCommand_Tick{Tick: &api.LogTick{AtMs: c.At}}
 	case replicated.ReplaceRoutes:
-		m.Body = &api.LogCommand_ReplaceRoutes{ReplaceRoutes: &api.LogReplaceRoutes{Routes: fromRoutes(c.Document), AtMs: c.At}}
+		data, err := fromRoutes(c.Document)
+		if err != nil {
+			return nil, err
+		}
+		m.Body = &api.LogCommand_ReplaceRoutes{ReplaceRoutes: &api.LogReplaceRoutes{Routes: data, AtMs: c.At}}
 	case replicated.ReadRoutes:
 		m.Body = &api.LogCommand_ReadRoutes{ReadRoutes: &api.LogReadRoutes{AtMs: c.At}}
 	default:
--- a/api/codec/fleet.go
+++ b/api/codec/fleet.go
@@ -9,11 +9,15 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
-func fromUpdate(u *view.Update) *api.ViewUpdate {
+func fromUpdate(u *view.Update) (*api.ViewUpdate, error) {
+	document, err := fromRoutes(u.Routes)
+	if err != nil {
+		return nil, err
+	}
 	out := &api.ViewUpdate{
 		Term: u.Term, Seq: u.Seq, Base: u.Base,
 		RemovedServers: u.RemovedServers, RemovedVms: u.RemovedVMs,
-		Routes: fromRoutes(u.Routes), Partial: u.Partial,
+		Routes: document, Partial: u.Partial,
 	}
 	if u.Table != nil {
 		out.HasTable = true
@@ -26,7 +30,7 @@
 	for _, vm := range u.VMs {
 		out.Vms = append(out.Vms, fromVM(vm))
 	}
-	return out
+	return out, nil
 }
 
 func toUpdate(p *api.ViewUpdate) (*view.Update, error) {
--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -81,7 +81,8 @@
 	case machine.Renew:
 		return &api.Envelope{Body: &api.Envelope_Renew{Renew: fromRenew(m)}}, nil
 	case machine.Grant:
-		return &api.Envelope{Body: &api.Envelope_Grant{Grant: fromGrant(m)}}, nil
+		grant, err := fromGrant(m)
+		return &api.Envelope{Body: &api.Envelope_Grant{Grant: grant}}, err
 	case machine.NotLeader:
 		body := &api.NotLeader{Leader: m.Leader, Proposal: m.Proposal}
 		return &api.Envelope{Body: &api.Envelope_NotLeader{NotLeader: body}}, nil
@@ -151,7 +152,7 @@
 	return out
 }
 
-func fromGrant(m machine.Grant) *api.Grant {
+func fromGrant(m machine.Grant) (*api.Grant, error) {
 	out := &api.Grant{
 		EchoNanos:  int64(m.Echo),
 		Term:       m.Term,
@@ -160,10 +161,12 @@
 		Shares:     fromShares(m.Shares),
 		Left:       m.Left,
 	}
-	if m.Update != nil {
-		out.Update = fromUpdate(m.Update)
+	if m.Update == nil {
+		return out, nil
 	}
-	return out
+	update, err := fromUpdate(m.Update)
+	out.Update = update
+	return out, err
 }
 
 func toGrant(p *api.Grant) (machine.Grant, error) {
--- a/api/codec/result.go
+++ b/api/codec/result.go
@@ -12,12 +12,16 @@
 // EncodeResult encodes the result of a command. The error is of kind
 // fault.Invalid, or fault.TooLarge above MaxResultBytes.
 func EncodeResult(r replicated.Result) ([]byte, error) {
+	document, err := fromRoutes(r.Routes)
+	if err != nil {
+		return nil, err
+	}
 	m := &api.LogResult{
 		Fault:     fromFault(r.Err),
 		Version:   r.Version,
 		Work:      fromWork(r.Work),
 		Authority: fromAuthorityOutcome(r.Authority),
-		Routes:    fromRoutes(r.Routes),
+		Routes:    document,
 	}
 	return marshal(m, MaxResultBytes)
 }
--- a/api/codec/routes.go
+++ b/api/codec/routes.go
@@ -7,11 +7,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 )
 
-// fromRoutes returns nil for nil.
-func fromRoutes(d *routes.Document) *api.LogRoutes {
-	if d == nil {
-		return nil
-	}
+func fromPlainRoutes(d *routes.Document) *api.LogRoutes {
 	out := &api.LogRoutes{
 		Version: d.Version,
 		Source:  d.Source,
@@ -73,11 +69,7 @@
 	}
 }
 
-// toRoutes returns nil for nil.
-func toRoutes(m *api.LogRoutes) (*routes.Document, error) {
-	if m == nil {
-		return nil, nil
-	}
+func toPlainRoutes(m *api.LogRoutes) (*routes.Document, error) {
 	out := &routes.Document{
 		Version: m.Version,
 		Source:  m.Source,
--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -12,13 +12,17 @@
 // EncodeSnapshot encodes the whole replicated state. The error is of kind
 // fault.Invalid, or fault.TooLarge above MaxSnapshotBytes.
 func EncodeSnapshot(s replicated.Snapshot) ([]byte, error) {
+	document, err := fromRoutes(s.Routes)
+	if err != nil {
+		return nil, err
+	}
 	m := &api.LogSnapshot{
 		Index:     s.Index,
 		NowMs:     s.Now,
 		Table:     fromTable(s.Table),
 		Ledger:    fromLedger(s.Ledger),
 		Authority: fromAuthority(s.Authority),
-		Routes:    fromRoutes(s.Routes),
+		Routes:    document,
 	}
 	for _, id := range sortedKeys(s.Drains) {
 		d := s.Drains[id]
