--- a/cmd/wagtaildyke/log.go
+++ b/cmd/wagtaildyke/log.go
@@ -23,14 +23,24 @@
 // newLogger returns a logger over slog. The path of a part in the supervisor
 // tree stands before the message in text and in the field "part" in JSON.
 func newLogger(out io.Writer, s settings.Log) logr.Logger {
+	return logr.FromSlogHandler(newHandler(out, s))
+}
+
+// newQueuedLogger returns a logger whose callers never wait for the log's reader.
+func newQueuedLogger(q *logQueue, s settings.Log) logr.Logger {
+	line := &lineBuffer{queue: q}
+	return logr.FromSlogHandler(queued{newHandler(line, s), line})
+}
+
+func newHandler(out io.Writer, s settings.Log) slog.Handler {
 	opts := &slog.HandlerOptions{Level: slog.LevelInfo}
 	if s.Level == "debug" {
 		opts.Level = slog.LevelDebug
 	}
 	if s.Format == "json" {
-		return logr.FromSlogHandler(parts{next: slog.NewJSONHandler(out, opts), field: true})
+		return parts{next: slog.NewJSONHandler(out, opts), field: true}
 	}
-	return logr.FromSlogHandler(parts{next: slog.NewTextHandler(out, opts)})
+	return parts{next: slog.NewTextHandler(out, opts)}
 }
 
 // parts moves the logger's name to where the log shows parts.
--- a/cmd/wagtaildyke/reload.go
+++ b/cmd/wagtaildyke/reload.go
@@ -24,7 +24,9 @@
 	if err != nil {
 		return err
 	}
-	log := newLogger(out, s.Log)
+	queue := newLogQueue(out)
+	defer queue.Close()
+	log := newQueuedLogger(queue, s.Log)
 	p, err := root.Open(s, log)
 	if err != nil {
 		return err
--- a/root/fronts.go
+++ b/root/fronts.go
@@ -87,6 +87,14 @@
 	Transport engine.TransportStats `json:"transport"`
 }
 
+// viewOrNone returns the view in force, or an empty one before the first.
+func (p *Process) viewOrNone() *view.View {
+	if v := p.views.Load(); v != nil {
+		return v
+	}
+	return &view.View{}
+}
+
 // viewMetrics describe the view in force at this process.
 type viewMetrics struct {
 	Term         uint64 `json:"term"`
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -117,9 +117,9 @@
 		return errors.New("a session opened by the other side at the same time is kept")
 	}
 	defer m.remove(id, s)
-	m.log.V(1).Info("session opened", "peer", id)
+	m.log.Info("a session opened", "peer", id)
 	err := s.run(ctx, q, func(frame []byte) { m.received(ctx, id, frame) })
-	m.log.V(1).Info("session closed", "peer", id)
+	m.log.Info("a session closed", "peer", id, "reason", errText(err))
 	return err
 }
 
--- a/root/platform.go
+++ b/root/platform.go
@@ -23,7 +23,7 @@
 // PlatformListeners are the listeners of the platform's front; those that the
 // settings don't name are nil.
 type PlatformListeners struct {
-	Frontend, Readiness, ControlPlane, Directory net.Listener
+	Frontend, Readiness, ControlPlane, Directory, Metrics net.Listener
 }
 
 func listenPlatform(s *settings.Platform) (l PlatformListeners, err error) {
@@ -35,6 +35,7 @@
 		{"platform.readiness", s.Readiness, &l.Readiness},
 		{"platform.control_plane", s.ControlPlane, &l.ControlPlane},
 		{"platform.directory", s.Directory, &l.Directory},
+		{"platform.metrics", s.Metrics, &l.Metrics},
 	} {
 		if one.address == "" {
 			continue
@@ -47,12 +48,13 @@
 }
 
 func (l PlatformListeners) all() []net.Listener {
-	return []net.Listener{l.Frontend, l.Readiness, l.ControlPlane, l.Directory}
+	return []net.Listener{l.Frontend, l.Readiness, l.ControlPlane, l.Directory, l.Metrics}
 }
 
 // buildPlatform adds the parts that the platform's callers, workers and
 // operator reach.
 func (p *Process) buildPlatform() {
+	p.counters = newCounters(p)
 	if p.listeners.Platform.Frontend != nil {
 		p.routed = traffic.NewRouted(p.routedOptions())
 	}
@@ -72,6 +74,9 @@
 	if l.ControlPlane != nil {
 		out = append(out, gateway.Listener{Name: "controlplane", Net: l.ControlPlane, Handler: p.controlHandler()})
 	}
+	if l.Metrics != nil {
+		out = append(out, gateway.Listener{Name: "metrics", Net: l.Metrics, Handler: p.counters.Handler()})
+	}
 	return out
 }
 
@@ -113,7 +118,8 @@
 			Window:  settings.Seconds(s.RetryWindowSeconds),
 			Entries: p.placer.Entries,
 		},
-		Draw: rand.Float64,
+		Observe: p.counters,
+		Draw:    rand.Float64,
 	}
 }
 
@@ -124,6 +130,7 @@
 		Relay:        r,
 		MaxBodyBytes: limits.MaxBodyBytes,
 		WriteTimeout: settings.Millis(limits.WriteTimeoutMillis),
+		Answered:     p.counters.Answered,
 		Log:          node.Log().WithName("frontdoor"),
 	})
 	return i, i.InFlight
--- a/root/process.go
+++ b/root/process.go
@@ -51,6 +51,7 @@
 	dispatcher *dispatch.Dispatcher
 	placer     *placement.Placer
 	traffic    *traffic.Traffic
+	counters   *counters
 	routed     *traffic.Routed
 	store      *storage.Store
 	writer     *storage.Writer
@@ -313,6 +314,7 @@
 }
 
 func (p *Process) publish(v *view.View) {
+	p.logBeliefs(p.views.Load(), v)
 	p.views.Publish(v)
 	if p.placer != nil {
 		p.placer.SetView(v)
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -24,7 +24,13 @@
 	// The source is chosen before the server counts as holding the prompt.
 	source := s.source(&w, srv)
 	r := &Run{state: s, server: srv, placed: now, work: w, units: 1 + c.Missing/unitTokens}
-	r.choice = Choice{w.Stage, candidates, c.Running, c.Queued, c.Missing, c.Slowness, c.Reading, c.Home, source}
+	r.choice = Choice{
+		Stage: w.Stage, Candidates: candidates, Running: c.Running, Queued: c.Queued, Missing: c.Missing,
+		Slowness: c.Slowness, Reading: c.Reading, Home: c.Home, Source: source, Term: s.view.Term, Seq: s.view.Seq,
+	}
+	if at := srv.Load.ReportedAt; !at.IsZero() {
+		r.choice.ReportAge = now.Sub(at)
+	}
 	if w.Stage != Decode && w.PromptTokens > 0 {
 		r.tokens = c.Missing
 		r.reads = s.reading(&w)
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -151,6 +151,11 @@
 	Running, Queued, Missing, Slowness float64
 	Reading                            time.Duration
 	Home                               bool
+	// ReportAge is the age of what other entries reported of the server; 0 without
+	// a report.
+	ReportAge time.Duration
+	// Term and Seq name the view that was gone by.
+	Term, Seq uint64
 	// Source is the base URL of the engine from whose KV cache the shared parts of
 	// the prompt are copied; empty for none.
 	Source string
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -119,11 +119,20 @@
 	Backend Backend
 	// Retries is the fleet's retry budget.
 	Retries *Retries
+	// Observe counts attempts.
+	Observe Observer
 	// Draw returns a random number in [0,1).
 	Draw func() float64
 	Log  logr.Logger
 }
 
+// Observer counts what becomes of attempts.
+type Observer interface {
+	// Attempt counts one attempt at a server; first is the time to the first sign
+	// of its answer, 0 without any.
+	Attempt(stage, outcome string, first time.Duration)
+}
+
 // Relay serves routed requests.
 type Relay struct{ Options }
 
@@ -133,11 +142,11 @@
 // Serve carries one request. A nil error means that the sink has the whole
 // answer; otherwise the error says whether the work ran.
 func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
-	route, service, err := r.route(req)
+	route, service, version, err := r.route(req)
 	if err != nil {
 		return err
 	}
-	run := &run{Relay: r, req: req, route: route, service: service, sink: sink, after: req.After}
+	run := &run{Relay: r, req: req, route: route, service: service, version: version, sink: sink, after: req.After}
 	run.deadline = req.Arrived.Add(route.Timeout)
 	if req.Wait > 0 && req.Wait < route.Timeout {
 		run.deadline = req.Arrived.Add(req.Wait)
@@ -148,16 +157,16 @@
 	return run.serve(ctx)
 }
 
-// route finds the route and draws the service.
-func (r *Relay) route(req *Request) (*routes.Route, *routes.Service, error) {
+// route finds the route, draws the service and returns the version of the routes.
+func (r *Relay) route(req *Request) (*routes.Route, *routes.Service, uint64, error) {
 	v := r.Views.Load()
 	if v == nil || v.Routes == nil {
-		return nil, nil, errNoRoutes()
+		return nil, nil, 0, errNoRoutes()
 	}
 	route, found := v.Routes.Match(req.Host, req.Path)
 	if !found {
-		return nil, nil, errNoRoute(req)
+		return nil, nil, 0, errNoRoute(req)
 	}
 	service, _ := v.Routes.Service(route.Choose(r.Draw()))
-	return route, service, nil
+	return route, service, v.Routes.Version, nil
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -21,8 +22,10 @@
 // word that it ran nothing, or when no byte went out; ran never gets weaker.
 type run struct {
 	*Relay
-	req      *Request
-	route    *routes.Route
+	req   *Request
+	route *routes.Route
+	// version is that of the routes gone by.
+	version  uint64
 	service  *routes.Service
 	sink     Sink
 	deadline time.Time
@@ -88,13 +91,15 @@
 // ended gives a place back and logs how it went.
 func (r *run) ended(lease *placement.Lease, outcome placement.Outcome, err error) {
 	lease.End(outcome)
+	r.Observe.Attempt(lease.Choice().Stage.String(), outcome.String(), lease.Took())
 	chosen := lease.Choice()
 	fields := []any{
 		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", chosen.Stage.String(),
 		"outcome", outcome.String(), "first_ms", lease.Took().Milliseconds(), "age_ms", time.Since(r.req.Arrived).Milliseconds(),
 		"running", chosen.Running, "queued", int(chosen.Queued), "missing", int(chosen.Missing),
 		"home", chosen.Home, "predicted_ms", chosen.Reading.Milliseconds(), "slowness", chosen.Slowness,
-		"candidates", chosen.Candidates,
+		"candidates", chosen.Candidates, "report_age_ms", chosen.ReportAge.Milliseconds(),
+		"view", fmt.Sprintf("%d/%d", chosen.Term, chosen.Seq), "routes", r.version,
 	}
 	if err != nil {
 		fields = append(fields, "reason", err.Error())
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -29,6 +29,8 @@
 	// Front returns the handler of callers' requests and the number in flight.
 	Front   func(*relay.Relay, *supervise.Node) (http.Handler, func() int)
 	Retries *relay.Retries
+	// Observe counts attempts.
+	Observe relay.Observer
 	Draw    func() float64
 }
 
@@ -49,6 +51,7 @@
 		Placer:  o.Placer,
 		Backend: o.Backend(transport),
 		Retries: o.Retries,
+		Observe: o.Observe,
 		Draw:    o.Draw,
 		Log:     node.Log().WithName("relay"),
 	})
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -34,7 +34,7 @@
 	}
 	listeners := []struct{ field, address string }{
 		{"frontend", p.Frontend}, {"readiness", p.Readiness},
-		{"control_plane", p.ControlPlane}, {"directory", p.Directory},
+		{"control_plane", p.ControlPlane}, {"directory", p.Directory}, {"metrics", p.Metrics},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,6 +70,8 @@
 	ControlPlane string `json:"control_plane"`
 	// Directory tells callers which entries to use.
 	Directory string `json:"directory"`
+	// Metrics serves counters and histograms as text.
+	Metrics string `json:"metrics"`
 	// AddressLifetimeMillis is how long callers may keep an answer of the directory.
 	AddressLifetimeMillis int `json:"address_lifetime_ms"`
 	// HeartbeatMillis is the time between announcements of a backend server.
