--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -42,6 +43,9 @@
 	// cache is KV cache that waits for its taker; prefills counts the calls for one.
 	cache    *CacheHandle
 	prefills int
+	// reserved is set while a further transmission is taken from the retry budget
+	// already.
+	reserved atomic.Bool
 	// only names the one server that is to take the request whole; empty for any.
 	only string
 	// ran is the strongest claim about what ran so far.
@@ -144,7 +148,7 @@
 // send transmits the request within the retry budget.
 func (r *run) send(ctx context.Context, lease *placement.Lease) (Reply, error) {
 	server := lease.Server()
-	if r.sends > 0 && !r.Retries.Take(r.service.Name, time.Now()) {
+	if r.sends > 0 && !r.reserved.Swap(false) && !r.Retries.Take(r.service.Name, time.Now()) {
 		return nil, r.errBudget()
 	}
 	reply, err := r.Backend.Send(ctx, server, r.transmission(lease.Choice().Source))
@@ -242,7 +246,7 @@
 			return placement.Lost, err
 		}
 		lease.First()
-		watch.progress()
+		watch.begun()
 		if ev.ID > 0 && ev.ID <= r.after {
 			continue
 		}
--- a/root/traffic/relay/watch.go
+++ b/root/traffic/relay/watch.go
@@ -9,43 +9,46 @@
 	// patienceShare is the part of the time left that an attempt may pass without
 	// a first sign of an answer: what remains is enough for another one.
 	patienceShare = 0.5
-	// gapPatience is the pause within a stream, in pauses that are still on time,
-	// past which it goes on at another server.
-	gapPatience = 4
-	// minPatience keeps short objectives from ending attempts over a hiccup.
+	// minPatience keeps short deadlines from ending attempts over a hiccup.
 	minPatience = 300 * time.Millisecond
 )
 
-// watch ends an attempt that brings no sign of progress, where another attempt
-// could do better.
+// watch ends an attempt that brings no sign of an answer, once another attempt is
+// sure to be allowed. An answer that has begun is never ended for its silence.
 type watch struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	timer  *time.Timer
-	gap    time.Duration
 }
 
 func (r *run) newWatch(ctx context.Context) *watch {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{ctx: ctx, cancel: cancel, gap: max(minPatience, gapPatience*r.route.MaxGap)}
+	w := &watch{ctx: ctx, cancel: cancel}
 	another := r.sends+1 < r.route.MaxAttempts
-	if another && r.route.Idempotent() {
+	if another && r.route.Idempotent() && !r.headSent {
 		patience := time.Duration(patienceShare * float64(time.Until(r.deadline)))
-		w.timer = time.AfterFunc(max(minPatience, patience), cancel)
+		w.timer = time.AfterFunc(max(minPatience, patience), func() { r.giveUp(cancel) })
 	}
 	return w
 }
 
-// progress notes an event of a stream.
-func (w *watch) progress() {
-	if w.timer != nil {
-		w.timer.Reset(w.gap)
+// giveUp ends an attempt when the retry budget has room for another one.
+func (r *run) giveUp(cancel context.CancelFunc) {
+	if !r.Retries.Take(r.service.Name, time.Now()) {
+		return
 	}
+	r.reserved.Store(true)
+	cancel()
 }
 
-func (w *watch) stop() {
+// begun notes the first sign of an answer.
+func (w *watch) begun() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+}
+
+func (w *watch) stop() {
+	w.begun()
 	w.cancel()
 }
