--- a/root/traffic/placement/health.go
+++ b/root/traffic/placement/health.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// firstAvoid and mostAvoid bound the time for which a server that was lost is
@@ -66,3 +69,29 @@
 	}
 	return max(1, h.took/typical)
 }
+
+// typicalHealth is the middle of what is observed of a service's servers.
+type typicalHealth struct{ errors, took float64 }
+
+func (s *State) typical(w *Work) typicalHealth {
+	var errors, took []float64
+	for _, srv := range s.servers {
+		c := Candidate{Server: &srv.Server}
+		if !(ServiceFilter{}).Keep(w, &c) || !(StageFilter{}).Keep(w, &c) {
+			continue
+		}
+		errors = append(errors, srv.health.errors)
+		if srv.health.times >= minTimes {
+			took = append(took, srv.health.took)
+		}
+	}
+	return typicalHealth{lowMedian(errors), lowMedian(took)}
+}
+
+func lowMedian(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -56,8 +56,6 @@
 // Candidate is a server with what this entry knows of it.
 type Candidate struct {
 	Server *fleet.Server
-	// Own is this entry's requests on the server.
-	Own int
 	// Running estimates the requests on the server from all entries.
 	Running float64
 	// Queued estimates the prompt tokens that wait on the server, Missing those
