--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -53,18 +53,14 @@
 }
 
 // Seed takes over what an earlier view showed, as if heard now. Whoever stays
-// silent is suspected after the usual time.
+// silent is suspected after the usual time. A member that drained keeps that
+// state until it speaks itself: it may have announced the drain, and then nobody
+// may send it work.
 func (t *Tracker) Seed(servers []Server, vms []VM, now time.Time) {
 	for _, s := range servers {
-		if s.State == Draining {
-			s.State = Active
-		}
 		t.servers[s.ID] = &serverEntry{server: s, lastHeard: now, running: map[string]OwnLoad{}, seeded: true}
 	}
 	for _, vm := range vms {
-		if vm.State == Draining {
-			vm.State = Active
-		}
 		t.vms[vm.ID] = &vmEntry{vm: vm, lastHeard: now}
 	}
 }
--- /dev/null
+++ b/root/control/machine/drain_test.go
@@ -0,0 +1,56 @@
+package machine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+// announceState is a backend server's own word about its state.
+func (w *world) announceState(at *node, sequence uint64, state fleet.State) {
+	at.step(machine.Announced{Server: fleet.Server{
+		ID: engineID, Incarnation: 1, Sequence: sequence, Address: "http://engine",
+		Targets: []string{"assistant"}, Slots: 8, State: state,
+	}})
+}
+
+// shown reports whether all nodes that are up show the engine in the state.
+func (w *world) shown(state fleet.State) bool {
+	for _, n := range w.nodes {
+		if n.down {
+			continue
+		}
+		if len(n.view.Servers) != 1 || n.view.Servers[0].State != state {
+			return false
+		}
+	}
+	return true
+}
+
+// TestAnAnnouncedDrainOutlivesTheLeader: a server that said it drains gets no new
+// work from the views of the next leader either, before it speaks again.
+func TestAnAnnouncedDrainOutlivesTheLeader(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 10; seed++ {
+		w := newWorld(seed, machine.RuleNone)
+		leader := w.settle()
+		entry := w.nodes[replicas]
+		w.announceState(entry, 1, fleet.Active)
+		w.play(2 * time.Second)
+		c.Assert(w.shown(fleet.Active), qt.IsTrue)
+		w.announceState(entry, 2, fleet.Draining)
+		w.play(2 * time.Second)
+		c.Assert(w.shown(fleet.Draining), qt.IsTrue)
+		// What the entry heard is not told to the next leader.
+		entry.crash()
+		leader.crash()
+		for end := w.now.Add(4 * time.Second); w.now.Before(end); {
+			w.advance()
+			c.Assert(w.shown(fleet.Draining), qt.IsTrue, qt.Commentf("seed %d", seed))
+		}
+	}
+}
