--- a/root/control/fleet/fleet.go
+++ b/root/control/fleet/fleet.go
@@ -2,7 +2,10 @@
 // silence, drains and load reports. It is pure: no I/O, no clock, no goroutine.
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ServerKind says what a backend server runs.
 type ServerKind uint8
@@ -76,6 +79,9 @@
 	Sequence uint64
 }
 
+// LastSequence orders a leave after every announcement of its incarnation.
+const LastSequence = math.MaxUint64
+
 // Follows reports whether the announcement s may replace an earlier one of the
 // same server.
 func (s Server) Follows(old Server) bool {
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -84,6 +84,7 @@
 	if s.Incarnation == e.server.Incarnation && !e.accepts(s, heardAt) {
 		return false
 	}
+	s = s.completedBy(e.server)
 	changed := !sameAnnouncement(e.server, s)
 	e.server = s
 	e.lastHeard = heardAt
@@ -91,6 +92,16 @@
 	return changed
 }
 
+// completedBy fills in a leave that was passed on by a process that did not know
+// the server.
+func (s Server) completedBy(known Server) Server {
+	if s.State != Leaving || s.Address != "" {
+		return s
+	}
+	known.Incarnation, known.State, known.Sequence = s.Incarnation, s.State, s.Sequence
+	return known
+}
+
 // claimAddress forgets a server that ended at the address where s started later.
 // It reports false when s itself is the earlier one. A change of incarnation
 // orders servers of different ids only where incarnations are start times.
@@ -229,11 +240,15 @@
 }
 
 // Servers returns a sorted copy of all backend servers. Running is at least
-// the sum of the entries' own counts.
+// the sum of the entries' own counts. One that left before it was known is kept
+// from view: it only stops a late announcement from bringing it back.
 func (t *Tracker) Servers() []Server {
 	out := make([]Server, 0, len(t.servers))
 	for _, e := range t.servers {
 		s := e.server
+		if s.Address == "" && s.State == Leaving {
+			continue
+		}
 		running, tokens := e.ownLoads()
 		s.Load.Running = max(s.Load.Running, running)
 		s.Load.Tokens = tokens
--- a/root/control/machine/drain_test.go
+++ b/root/control/machine/drain_test.go
@@ -54,3 +54,38 @@
 		}
 	}
 }
+
+// TestALeaveOfAnUnknownServerReachesAll: the process that a server tells that it
+// stops may not know it yet.
+func TestALeaveOfAnUnknownServerReachesAll(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1, machine.RuleNone)
+	w.settle()
+	entry := w.nodes[replicas]
+	entry.isolated = true
+	w.announceState(w.nodes[replicas+1], 1, fleet.Active)
+	w.play(500 * time.Millisecond)
+	c.Assert(entry.view.Servers, qt.HasLen, 0)
+	entry.step(machine.Departed{Server: engineID, Incarnation: 1})
+	entry.isolated = false
+	w.play(3 * time.Second)
+	c.Assert(w.shown(fleet.Leaving), qt.IsTrue)
+	w.announceState(w.nodes[replicas+1], 2, fleet.Active)
+	w.play(time.Second)
+	c.Assert(w.shown(fleet.Leaving), qt.IsTrue)
+}
+
+// TestALeaveBeforeTheFirstAnnouncementIsFinal: a late announcement of a server
+// that has left brings it into no view.
+func TestALeaveBeforeTheFirstAnnouncementIsFinal(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1, machine.RuleNone)
+	w.settle()
+	w.nodes[replicas].step(machine.Departed{Server: engineID, Incarnation: 1})
+	w.play(time.Second)
+	w.announceState(w.nodes[replicas+1], 1, fleet.Active)
+	w.play(2 * time.Second)
+	for _, n := range w.nodes {
+		c.Assert(n.view.Servers, qt.HasLen, 0)
+	}
+}
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -69,6 +69,8 @@
 		m.cfg.Replicas = ev.VMs
 	case Announced:
 		m.member.announced(ev.Server)
+	case Departed:
+		m.member.departed(ev)
 	case Submit:
 		m.proposals.submit(ev)
 	case Traffic:
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -49,6 +49,31 @@
 	}
 }
 
+// departed records that a backend server stops. One that is unknown here may be
+// known elsewhere: the leader hears of it all the same.
+func (b *member) departed(d Departed) {
+	s := b.known(d.Server)
+	if d.Incarnation != 0 {
+		s.Incarnation = d.Incarnation
+	}
+	s.State = fleet.Leaving
+	s.Sequence = fleet.LastSequence
+	b.announced(s)
+}
+
+// known returns what this process knows of a server; of an unknown one its id.
+func (b *member) known(id string) fleet.Server {
+	if h, ok := b.heard[id]; ok {
+		return h.server
+	}
+	for _, s := range b.current.Servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return fleet.Server{ID: id}
+}
+
 func (b *member) traffic(t Traffic) { b.own = t }
 
 func (b *member) stop(phase StopPhase) {
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -105,6 +105,13 @@
 // Announced is an announcement of a backend server to this process.
 type Announced struct{ Server fleet.Server }
 
+// Departed is the word of a backend server that it stops. Incarnation 0 means
+// the one that is known here.
+type Departed struct {
+	Server      string
+	Incarnation uint64
+}
+
 // Submit asks for a command to be committed; Answer carries the same ID.
 type Submit struct {
 	ID      uint64
@@ -150,6 +157,7 @@
 func (Wake) event()      {}
 func (Received) event()  {}
 func (Announced) event() {}
+func (Departed) event()  {}
 func (Seeds) event()     {}
 func (Submit) event()    {}
 func (Traffic) event()   {}
--- /dev/null
+++ b/root/gateway/registrar_test.go
@@ -0,0 +1,98 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/gateway"
+)
+
+// control stands in for the control thread.
+type control struct {
+	events  []machine.Event
+	postErr error
+	// hang leaves commands without an answer.
+	hang  bool
+	state routes.State
+}
+
+func (l *control) Post(_ context.Context, ev machine.Event) error {
+	l.events = append(l.events, ev)
+	return l.postErr
+}
+
+func (l *control) Submit(ctx context.Context, cmd replicated.Command) (replicated.Result, error) {
+	if l.hang {
+		<-ctx.Done()
+		return replicated.Result{}, fault.Wrap(ctx.Err(), fault.NoQuorum, "test", "no answer")
+	}
+	if replace, ok := cmd.(replicated.ReplaceRoutes); ok {
+		r := l.state.Replace(replace.Document)
+		return replicated.Result{Err: r.Err, Version: r.Version}, nil
+	}
+	return replicated.Result{Version: l.state.Version(), Routes: l.state.Document()}, nil
+}
+
+func TestOnlyKnownServicesAreAnnounced(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	l := &control{}
+	views := &view.Store{}
+	r := gateway.NewRegistrar(views, l)
+	forged := fleet.Server{ID: "i-1", Targets: []string{"forged"}}
+	c.Assert(r.Announce(ctx, forged), qt.IsNil)
+	views.Publish(&view.View{Term: 1, Routes: &routes.Document{Version: 1, Services: []routes.Service{{Name: "llm"}}}})
+	c.Assert(fault.Is(r.Announce(ctx, forged), fault.Invalid), qt.IsTrue)
+	c.Assert(r.Announce(ctx, fleet.Server{ID: "i-1", Targets: []string{"llm"}}), qt.IsNil)
+	c.Assert(l.events, qt.HasLen, 2)
+	l.postErr = errors.New("full")
+	c.Assert(fault.Is(r.Announce(ctx, fleet.Server{ID: "i-1", Targets: []string{"llm"}}), fault.Unavailable), qt.IsTrue)
+}
+
+// TestALeaveIsPassedOnUnseen: the replica that hears of it may not know the
+// server yet, while others send it work.
+func TestALeaveIsPassedOnUnseen(t *testing.T) {
+	c := qt.New(t)
+	l := &control{}
+	r := gateway.NewRegistrar(&view.Store{}, l)
+	c.Assert(r.Leave(context.Background(), "i-1", 7), qt.IsNil)
+	c.Assert(l.events, qt.DeepEquals, []machine.Event{machine.Departed{Server: "i-1", Incarnation: 7}})
+	l.postErr = errors.New("full")
+	c.Assert(fault.Is(r.Leave(context.Background(), "i-1", 7), fault.Unavailable), qt.IsTrue)
+}
+
+func TestRoutesAreReadBack(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	r := gateway.NewRegistrar(&view.Store{}, &control{})
+	_, err := r.Routes(ctx)
+	c.Assert(fault.Is(err, fault.NotReady), qt.IsTrue)
+	d := &routes.Document{Version: 4}
+	version, err := r.ReplaceRoutes(ctx, d)
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(4))
+	got, err := r.Routes(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, d)
+	_, err = r.ReplaceRoutes(ctx, &routes.Document{Version: 5, Routes: []routes.Route{{}}})
+	c.Assert(fault.Is(err, fault.Invalid), qt.IsTrue)
+}
+
+func TestWithoutAQuorumACommitIsGivenUpWithinASecond(t *testing.T) {
+	c := qt.New(t)
+	r := gateway.NewRegistrar(&view.Store{}, &control{hang: true})
+	began := time.Now()
+	_, err := r.ReplaceRoutes(context.Background(), &routes.Document{Version: 4})
+	c.Assert(fault.Is(err, fault.NoQuorum), qt.IsTrue)
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
--- a/root/platform.go
+++ b/root/platform.go
@@ -9,7 +9,6 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/platform"
-	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/gateway"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic"
@@ -81,14 +80,7 @@
 }
 
 func (p *Process) controlHandler() http.Handler {
-	return platform.NewControl(platform.ControlOptions{
-		Views:     p.views,
-		Submitter: p.loop,
-		Announce: func(ctx context.Context, s fleet.Server) error {
-			return p.loop.Post(ctx, machine.Announced{Server: s})
-		},
-		Log: p.log.WithName("gateway"),
-	})
+	return platform.NewControl(gateway.NewRegistrar(p.views, p.loop), p.log.WithName("gateway"))
 }
 
 func (p *Process) serverOptions() frontdoor.ServerOptions {
@@ -103,15 +95,16 @@
 func (p *Process) routedOptions() traffic.RoutedOptions {
 	s := p.settings.Platform
 	return traffic.RoutedOptions{
-		Ancestor: p.tree,
-		Listener: p.listeners.Platform.Frontend,
-		Views:    p.views,
-		Loop:     p.loop,
-		Placer:   p.placer,
-		Applied:  p.applied.Load,
-		Server:   p.serverOptions(),
-		Backend:  func(t *engine.Transport) relay.Backend { return platform.NewBackend(t) },
-		Front:    p.ingress,
+		Ancestor:     p.tree,
+		Listener:     p.listeners.Platform.Frontend,
+		Views:        p.views,
+		Loop:         p.loop,
+		Placer:       p.placer,
+		Applied:      p.applied.Load,
+		Server:       p.serverOptions(),
+		Backend:      func(t *engine.Transport) relay.Backend { return platform.NewBackend(t) },
+		Front:        p.ingress,
+		MaxBodyBytes: p.settings.Limits.MaxBodyBytes,
 		Retries: &relay.Retries{
 			Ratio:   s.RetryRatio,
 			Extra:   s.RetryExtra,
@@ -123,17 +116,13 @@
 	}
 }
 
-func (p *Process) ingress(r *relay.Relay, node *supervise.Node) (http.Handler, func() int) {
-	limits := p.settings.Limits
-	i := platform.NewIngress(platform.IngressOptions{
-		Views:        p.views,
+func (p *Process) ingress(r *relay.Relay, node *supervise.Node) http.Handler {
+	return platform.NewIngress(platform.IngressOptions{
 		Relay:        r,
-		MaxBodyBytes: limits.MaxBodyBytes,
-		WriteTimeout: settings.Millis(limits.WriteTimeoutMillis),
+		WriteTimeout: settings.Millis(p.settings.Limits.WriteTimeoutMillis),
 		Answered:     p.counters.Answered,
 		Log:          node.Log().WithName("frontdoor"),
 	})
-	return i, i.InFlight
 }
 
 // Reload takes over what changed in the settings file: the seeds. Other changes
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -123,7 +124,9 @@
 	Observe Observer
 	// Draw returns a random number in [0,1).
 	Draw func() float64
-	Log  logr.Logger
+	// MaxBodyBytes bounds a request's body until routes give a bound.
+	MaxBodyBytes int64
+	Log          logr.Logger
 }
 
 // Observer counts what becomes of attempts.
@@ -134,14 +137,31 @@
 }
 
 // Relay serves routed requests.
-type Relay struct{ Options }
+type Relay struct {
+	Options
+	inFlight atomic.Int64
+}
 
 // New returns a Relay.
-func New(o Options) *Relay { return &Relay{o} }
+func New(o Options) *Relay { return &Relay{Options: o} }
+
+// InFlight returns the number of requests being served.
+func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
+
+// BodyBound returns the most bytes that the body of a request may have.
+func (r *Relay) BodyBound() int64 {
+	v := r.Views.Load()
+	if v == nil || v.Routes == nil || v.Routes.Limits.MaxBodyBytes <= 0 {
+		return r.MaxBodyBytes
+	}
+	return int64(v.Routes.Limits.MaxBodyBytes)
+}
 
 // Serve carries one request. A nil error means that the sink has the whole
 // answer; otherwise the error says whether the work ran.
 func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
 	route, service, version, err := r.route(req)
 	if err != nil {
 		return err
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -26,9 +26,11 @@
 	Server  frontdoor.ServerOptions
 	// Backend returns the protocol towards backend servers over a transport.
 	Backend func(*engine.Transport) relay.Backend
-	// Front returns the handler of callers' requests and the number in flight.
-	Front   func(*relay.Relay, *supervise.Node) (http.Handler, func() int)
-	Retries *relay.Retries
+	// Front returns the handler of callers' requests.
+	Front func(*relay.Relay, *supervise.Node) http.Handler
+	// MaxBodyBytes bounds a request's body until routes give a bound.
+	MaxBodyBytes int64
+	Retries      *relay.Retries
 	// Observe counts attempts.
 	Observe relay.Observer
 	Draw    func() float64
@@ -47,24 +49,24 @@
 	node := o.Ancestor.Supervisor("traffic")
 	transport := engine.NewTransport()
 	carrier := relay.New(relay.Options{
-		Views:   o.Views,
-		Placer:  o.Placer,
-		Backend: o.Backend(transport),
-		Retries: o.Retries,
-		Observe: o.Observe,
-		Draw:    o.Draw,
-		Log:     node.Log().WithName("relay"),
+		Views:        o.Views,
+		Placer:       o.Placer,
+		Backend:      o.Backend(transport),
+		Retries:      o.Retries,
+		Observe:      o.Observe,
+		Draw:         o.Draw,
+		MaxBodyBytes: o.MaxBodyBytes,
+		Log:          node.Log().WithName("relay"),
 	})
-	handler, inFlight := o.Front(carrier, node)
 	t := &Routed{
-		Server:    frontdoor.NewServer(o.Listener, handler, o.Server),
+		Server:    frontdoor.NewServer(o.Listener, o.Front(carrier, node), o.Server),
 		Transport: transport,
-		InFlight:  inFlight,
+		InFlight:  carrier.InFlight,
 	}
 	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
 		node.Passive(name)
 	}
-	node.Service("usage", usage.New(o.Loop, usage.Placed{Placer: o.Placer}, inFlight, o.Applied))
+	node.Service("usage", usage.New(o.Loop, usage.Placed{Placer: o.Placer}, carrier.InFlight, o.Applied))
 	node.Service("frontdoor", t.Server)
 	return t
 }
