--- a/api/codec/encodings.go
+++ b/api/codec/encodings.go
@@ -1,6 +1,9 @@
 package codec
 
-import "sync"
+import (
+	"bytes"
+	"sync"
+)
 
 // encodings remembers the encoded forms of the values encoded last. Values are
 // told apart by their pointers and must not change. One value sent to many
@@ -34,7 +37,29 @@
 	if err != nil {
 		return nil, err
 	}
+	c.remember(value, data)
+	return data, nil
+}
+
+// from returns the value of an encoded form, decoding it where it is not
+// remembered: what a process proposes comes back to it in the log.
+func (c *encodings[T]) from(data []byte, decode func() (*T, error)) (*T, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.entries {
+		if e.value != nil && bytes.Equal(e.data, data) {
+			return e.value, nil
+		}
+	}
+	value, err := decode()
+	if err != nil {
+		return nil, err
+	}
+	c.remember(value, data)
+	return value, nil
+}
+
+func (c *encodings[T]) remember(value *T, data []byte) {
 	c.entries[c.next] = encoding[T]{value, data}
 	c.next = (c.next + 1) % len(c.entries)
-	return data, nil
 }
--- a/api/codec/packed.go
+++ b/api/codec/packed.go
@@ -15,9 +15,10 @@
 // typed form.
 const maxPlainRoutes = 4 * routes.MaxDocumentBytes
 
-// packedRoutes remembers the documents encoded last: the one in force with its
-// source, for readers, and without, for views.
-var packedRoutes = newEncodings[routes.Document](2)
+// packedRoutes remembers the documents encoded or decoded last: the one in force
+// and one that is proposed, each with its source, for the log and for readers, and
+// without, for views.
+var packedRoutes = newEncodings[routes.Document](4)
 
 // fromRoutes returns the compressed document; nil for nil.
 func fromRoutes(d *routes.Document) ([]byte, error) {
@@ -32,11 +33,13 @@
 	if len(data) == 0 {
 		return nil, nil
 	}
-	m := new(api.LogRoutes)
-	if err := unpack(data, m); err != nil {
-		return nil, err
-	}
-	return toPlainRoutes(m)
+	return packedRoutes.from(data, func() (*routes.Document, error) {
+		m := new(api.LogRoutes)
+		if err := unpack(data, m); err != nil {
+			return nil, err
+		}
+		return toPlainRoutes(m)
+	})
 }
 
 // fromRoutesDelta returns the compressed delta; nil for nil.
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -79,17 +79,11 @@
 	}
 }
 
-// Send queues a message. It never blocks; a message to a peer without room in
-// its queue is dropped.
+// Send queues a message, which must not change any more. It never blocks; a
+// message to a peer without room in its queue is dropped.
 func (m *Mesh) Send(to string, msg machine.Message) {
-	frame, err := codec.EncodeMessage(msg)
-	if err != nil {
-		m.log.Error(err, "a message can't be encoded", "peer", to)
-		return
-	}
-	m.sentBytes.Add(uint64(len(frame)))
 	q, live := m.queue(to)
-	q.push(frame)
+	q.push(msg)
 	if !live && m.need != nil {
 		m.need(to)
 	}
@@ -118,7 +112,7 @@
 	}
 	defer m.remove(id, s)
 	m.log.Info("a session opened", "peer", id)
-	err := s.run(ctx, q, func(frame []byte) { m.received(ctx, id, frame) })
+	err := s.run(ctx, q, m.encode, func(frame []byte) { m.received(ctx, id, frame) })
 	m.log.Info("a session closed", "peer", id, "reason", errText(err))
 	return err
 }
@@ -154,6 +148,17 @@
 	}
 }
 
+// encode returns the frame of a message; nil for one that can't be encoded.
+func (m *Mesh) encode(msg machine.Message) []byte {
+	frame, err := codec.EncodeMessage(msg)
+	if err != nil {
+		m.log.Error(err, "dropped a message that can't be encoded")
+		return nil
+	}
+	m.sentBytes.Add(uint64(len(frame)))
+	return frame
+}
+
 func (m *Mesh) received(ctx context.Context, from string, frame []byte) {
 	m.receivedBytes.Add(uint64(len(frame)))
 	msg, err := codec.DecodeMessage(frame)
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 )
 
 // Bounds of a session.
@@ -126,18 +127,16 @@
 	return l, hello, err
 }
 
-// run moves frames both ways until the session or ctx ends.
-func (s *session) run(ctx context.Context, q *queue, deliver func(frame []byte)) error {
+// run moves messages both ways until the session or ctx ends.
+func (s *session) run(ctx context.Context, q *queue, encode func(machine.Message) []byte, deliver func(frame []byte)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { s.mux.Close() })
 	defer stop()
-	for i, l := range s.lines {
-		from := q.urgent
-		if i == 1 {
-			from = q.bulk
-		}
-		go func() { cancel(writeLoop(ctx, l, from)) }()
+	urgent, bulk := s.lines[0], s.lines[1]
+	go func() { cancel(writeUrgent(ctx, urgent, q, encode)) }()
+	go func() { cancel(writeBulk(ctx, bulk, q.bulk)) }()
+	for _, l := range s.lines {
 		go func() { cancel(readLoop(l, deliver)) }()
 	}
 	select {
@@ -147,20 +146,47 @@
 	return context.Cause(ctx)
 }
 
-func writeLoop(ctx context.Context, l *line, from <-chan []byte) error {
+// writeUrgent encodes messages and writes them; large frames take the bulk stream.
+func writeUrgent(ctx context.Context, l *line, q *queue, encode func(machine.Message) []byte) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case msg := <-q.urgent:
+			frame := encode(msg)
+			switch {
+			case frame == nil:
+			case len(frame) > urgentLimitBytes:
+				q.pushBulk(frame)
+			default:
+				if err := l.write(frame); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+func writeBulk(ctx context.Context, l *line, from <-chan []byte) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case frame := <-from:
-			l.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if err := writeFrame(l, frame); err != nil {
+			if err := l.write(frame); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+func (l *line) write(frame []byte) error {
+	if err := l.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeFrame(l, frame)
+}
+
 func readLoop(l *line, deliver func([]byte)) error {
 	for {
 		frame, err := readFrame(l.r)
