--- a/root/traffic/placement/candidates.go
+++ b/root/traffic/placement/candidates.go
@@ -40,6 +40,7 @@
 	var all []Candidate
 	typical := s.typical(w)
 	home := s.home(w)
+	keeper := s.keeper(w)
 	reads := s.reading(w)
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
@@ -49,6 +50,7 @@
 		c.Running = float64(srv.own) + max(0, float64(srv.Load.Running-srv.ownAtReport))
 		c.Queued = srv.queued(now, reads)
 		c.Home = srv == home
+		c.Keeper = w.Stage == Decode && srv == keeper
 		c.Missing = float64(srv.missing(w, home != nil && (c.Home || w.Stage == Whole)))
 		if w.PromptTokens > 0 && w.Stage != Decode {
 			c.Reading = reads.predict(c.Queued + c.Missing)
--- a/root/traffic/placement/home.go
+++ b/root/traffic/placement/home.go
@@ -20,17 +20,35 @@
 	return held
 }
 
+// gathers reports whether entries gather the work by its first part.
+func (w *Work) gathers() bool {
+	return w.PromptTokens > 0 && !w.isShort() && len(w.Parts) > 1
+}
+
 // home returns the engine at which entries gather prompts with the same first
-// part, by rendezvous hashing; nil for work without shared parts.
+// part to be read; nil for work without shared parts.
 func (s *State) home(w *Work) *server {
-	if w.Stage == Decode || w.isShort() || len(w.Parts) < 2 {
+	if w.Stage == Decode {
+		return nil
+	}
+	return s.gathering(w, fleet.Prefill)
+}
+
+// keeper returns the decode engine at which entries prefer to answer prompts with
+// the same first part. It keeps the KV cache that it fetched, so that the home can
+// copy from it what it no longer holds; nil for work without shared parts.
+func (s *State) keeper(w *Work) *server { return s.gathering(w, fleet.Decode) }
+
+// gathering chooses among the engines of a role by rendezvous hashing.
+func (s *State) gathering(w *Work, role fleet.Role) *server {
+	if !w.gathers() {
 		return nil
 	}
 	var best *server
 	var bestScore uint64
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if !(ServiceFilter{}).Keep(w, &c) || srv.Role != fleet.Prefill {
+		if !(ServiceFilter{}).Keep(w, &c) || srv.Role != role {
 			continue
 		}
 		if score := rendezvous(w.Parts[0].Hash, srv.ID); best == nil || score > bestScore {
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -116,7 +116,7 @@
 func (l *Lease) Server() fleet.Server { return l.server }
 
 // Choice returns what the place was chosen by.
-func (l *Lease) Choice() Choice { return l.run.choice }
+func (l *Lease) Choice() Choice { return l.run.Choice() }
 
 // Took returns the time to the first sign of the answer; 0 without any.
 func (l *Lease) Took() time.Duration { return l.took }
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -51,22 +51,29 @@
 	return 0
 }
 
-// source returns where the shared parts of a long prompt that is read where the
-// answer is made are copied from: their home, unless the server holds them.
+// source returns where the shared parts of a long prompt are copied from if the
+// server lacks them: for its home the engine that answers such prompts, and for an
+// engine that reads and answers the home. An engine that holds them copies nothing.
 func (s *State) source(w *Work, srv *server) string {
-	if w.Stage != Whole {
-		return ""
+	var from *server
+	switch w.Stage {
+	case Prefill:
+		from = s.keeper(w)
+	case Whole:
+		from = s.home(w)
 	}
-	home := s.home(w)
-	if home == nil || srv.cache.missing(w.Parts, w.PromptTokens) <= w.Parts[len(w.Parts)-1].Tokens {
+	if from == nil || from == srv {
 		return ""
 	}
-	return home.Address
+	return from.Address
 }
 
 // Server returns the server as it was when the work was placed.
 func (r *Run) Server() fleet.Server { return r.server.Server }
 
+// Choice returns what the place was chosen by.
+func (r *Run) Choice() Choice { return r.choice }
+
 // Read notes that the prompt has been read.
 func (r *Run) Read() {
 	if r.read {
--- a/root/traffic/placement/scorers.go
+++ b/root/traffic/placement/scorers.go
@@ -51,6 +51,17 @@
 	return 1
 }
 
+// KeeperScorer prefers the engine that answers prompts with the same first part.
+type KeeperScorer struct{}
+
+// Score implements Scorer.
+func (KeeperScorer) Score(_ *Work, c *Candidate) float64 {
+	if c.Keeper {
+		return -1
+	}
+	return 0
+}
+
 // Least picks the lowest score. Scores within Jitter of each other are taken in
 // random order, so that entries with equal pictures don't all choose alike.
 type Least struct {
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -16,6 +16,9 @@
 	// domainWeight is the load for which a server of another failure domain is
 	// preferred: a fifth of its slots.
 	domainWeight = 0.2
+	// keeperWeight is the load up to which a prompt is answered where others with
+	// the same first part were: four tenths of the slots and another failure domain.
+	keeperWeight = 0.6
 	// errorWeight makes a server that always fails worse than a full one.
 	errorWeight = 2.0
 	// jitter spreads choices between servers of about equal load.
@@ -90,6 +93,7 @@
 		filters: []Filter{ServiceFilter{}, StageFilter{}, ExcludedFilter{}},
 		scorers: []weighted{
 			{LoadScorer{}, 1}, {ReadingScorer{}, 1}, {ErrorScorer{}, errorWeight}, {DomainScorer{}, domainWeight},
+			{KeeperScorer{}, keeperWeight},
 		},
 		prompts: []weighted{{ReadingScorer{}, 1}, {ErrorScorer{}, errorWeight}},
 		picker:  Least{Rand: random, Jitter: jitter},
--- a/root/traffic/placement/work.go
+++ b/root/traffic/placement/work.go
@@ -63,6 +63,8 @@
 	Queued, Missing float64
 	// Home says that the prompts that share the work's first part are sent here.
 	Home bool
+	// Keeper says that prompts that share the work's first part are answered here.
+	Keeper bool
 	// Reading predicts the time until the prompt is read.
 	Reading time.Duration
 	// Near says that the server is in this entry's failure domain.
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -49,7 +49,7 @@
 	}
 	outcome := placement.Lost
 	defer func() { r.ended(lease, outcome, err) }()
-	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(""))
+	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Choice().Source))
 	r.prefills++
 	if err == nil {
 		lease.First()
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -100,7 +100,7 @@
 		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", chosen.Stage.String(),
 		"outcome", outcome.String(), "first_ms", lease.Took().Milliseconds(), "age_ms", time.Since(r.req.Arrived).Milliseconds(),
 		"running", chosen.Running, "queued", int(chosen.Queued), "missing", int(chosen.Missing),
-		"home", chosen.Home, "predicted_ms", chosen.Reading.Milliseconds(), "slowness", chosen.Slowness,
+		"home", chosen.Home, "copy_from", chosen.Source, "predicted_ms", chosen.Reading.Milliseconds(), "slowness", chosen.Slowness,
 		"candidates", chosen.Candidates, "report_age_ms", chosen.ReportAge.Milliseconds(),
 		"view", fmt.Sprintf("%d/%d", chosen.Term, chosen.Seq), "routes", r.version,
 	}
