--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -16,6 +16,9 @@
 	RenewInterval time.Duration
 	// RenewTimeout is how long to wait for a Grant before trying another replica.
 	RenewTimeout time.Duration
+	// LeaderRetry is the wait before another replica is asked when one answered
+	// that it knows no leader.
+	LeaderRetry time.Duration
 	// ProposeRetry is the time between resends of an unanswered Propose.
 	ProposeRetry time.Duration
 	// ProposeTimeout bounds the wait for a commit.
@@ -43,9 +46,12 @@
 // DefaultTiming returns the timing for VMs a few milliseconds apart.
 func DefaultTiming() Timing {
 	return Timing{
-		ViewLease:      3 * time.Second,
-		RenewInterval:  500 * time.Millisecond,
-		RenewTimeout:   400 * time.Millisecond,
+		ViewLease:     3 * time.Second,
+		RenewInterval: 500 * time.Millisecond,
+		// A leader that is busy must not be left by all at once: new sessions to
+		// other replicas would cost it more. A new leader tells everybody by itself.
+		RenewTimeout:   time.Second,
+		LeaderRetry:    100 * time.Millisecond,
 		ProposeRetry:   400 * time.Millisecond,
 		ProposeTimeout: 8 * time.Second,
 		OrderTimeout:   15 * time.Minute,
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -96,7 +96,7 @@
 		l.tableChanged(p, mine, result)
 		return
 	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes:
-		l.rebuild()
+		l.fleetChanged()
 	}
 	l.orders.applied(cmd, result)
 	if mine {
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -84,9 +84,21 @@
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
 	l.rebuild()
+	l.announce(before.VMs)
 	return l
 }
 
+// announce tells the VMs of the last view who leads now, so that none has to find
+// out by the silence of the leader before.
+func (l *leader) announce(vms []fleet.VM) {
+	l.m.send(l.m.cfg.Self.ID, Grant{Term: l.term, Seq: l.seq(), Confirm: true})
+	for _, vm := range vms {
+		if vm.ID != l.m.cfg.Self.ID {
+			l.m.send(vm.ID, Grant{Term: l.term, Seq: l.seq(), Confirm: true})
+		}
+	}
+}
+
 // rebuild makes a new view of the current state and pushes it to lease holders.
 func (l *leader) rebuild() {
 	l.fleetDirty = false
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -117,8 +117,11 @@
 	}
 	t := b.m.cfg.Timing
 	b.nextRenew = b.m.now.Add(t.RenewInterval)
-	b.waiting = true
-	b.waitUntil = b.m.now.Add(t.RenewTimeout)
+	// The time without an answer counts from the first Renew that got none.
+	if !b.waiting {
+		b.waiting = true
+		b.waitUntil = b.m.now.Add(t.RenewTimeout)
+	}
 	b.m.send(b.leader, b.renewMessage())
 }
 
@@ -214,7 +217,7 @@
 	}
 	// The replica answered but knows no leader: ask the next one after the timeout.
 	b.waiting = true
-	b.waitUntil = earlier(b.waitUntil, b.m.now.Add(b.m.cfg.Timing.RenewTimeout/4))
+	b.waitUntil = earlier(b.waitUntil, b.m.now.Add(b.m.cfg.Timing.LeaderRetry))
 }
 
 // grant takes a lease, a newer view, or both. A grant of an older term has no effect.
