--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -52,17 +52,18 @@
 }
 
 // source returns where the shared parts of a long prompt are copied from if the
-// server lacks them: for its home the engine that answers such prompts, and for an
-// engine that reads and answers the home. An engine that holds them copies nothing.
+// server lacks them: the engine that answers such prompts, which keeps what it
+// fetched, and for that one itself the home. An engine that holds them copies
+// nothing.
 func (s *State) source(w *Work, srv *server) string {
-	var from *server
-	switch w.Stage {
-	case Prefill:
-		from = s.keeper(w)
-	case Whole:
+	if w.Stage == Decode {
+		return ""
+	}
+	from := s.keeper(w)
+	if from == srv {
 		from = s.home(w)
 	}
-	if from == nil || from == srv {
+	if from == nil {
 		return ""
 	}
 	return from.Address
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -17,8 +17,9 @@
 	// preferred: a fifth of its slots.
 	domainWeight = 0.2
 	// keeperWeight is the load up to which a prompt is answered where others with
-	// the same first part were: four tenths of the slots and another failure domain.
-	keeperWeight = 0.6
+	// the same first part were: full, and as many waiting. An answer is short beside
+	// the reading of a shared part.
+	keeperWeight = 2.0
 	// errorWeight makes a server that always fails worse than a full one.
 	errorWeight = 2.0
 	// jitter spreads choices between servers of about equal load.
