--- a/root/control/view/view.go
+++ b/root/control/view/view.go
@@ -3,6 +3,7 @@
 package view
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,13 +54,34 @@
 	return v.Seq > other.Seq
 }
 
-// Store hands views from the control thread to traffic without locks.
+// Store hands views from the control thread to traffic. Its zero value holds none.
 type Store struct {
 	current atomic.Pointer[View]
+	mu      sync.Mutex
+	// next is closed at the next publication; nil while nobody waits.
+	next chan struct{}
 }
 
 // Publish makes v the current view. Only the control thread calls it.
-func (s *Store) Publish(v *View) { s.current.Store(v) }
+func (s *Store) Publish(v *View) {
+	s.current.Store(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		close(s.next)
+		s.next = nil
+	}
+}
 
 // Load returns the current view, or nil before the first publication.
 func (s *Store) Load() *View { return s.current.Load() }
+
+// Next returns a channel that is closed at the next publication.
+func (s *Store) Next() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		s.next = make(chan struct{})
+	}
+	return s.next
+}
--- a/root/platform.go
+++ b/root/platform.go
@@ -113,6 +113,7 @@
 		},
 		Observe: p.counters,
 		Draw:    rand.Float64,
+		Started: time.Now(),
 	}
 }
 
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -126,7 +126,9 @@
 	Draw func() float64
 	// MaxBodyBytes bounds a request's body until routes give a bound.
 	MaxBodyBytes int64
-	Log          logr.Logger
+	// Started is when this process began to serve.
+	Started time.Time
+	Log     logr.Logger
 }
 
 // Observer counts what becomes of attempts.
@@ -162,6 +164,7 @@
 func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	r.awaitRoutes(ctx, req)
 	route, service, version, err := r.route(req)
 	if err != nil {
 		return err
--- /dev/null
+++ b/root/traffic/relay/start_test.go
@@ -0,0 +1,47 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+func TestARequestBeforeTheFirstRoutesIsHeld(t *testing.T) {
+	inBubble(t, func(c *qt.C, w *world) {
+		first := w.views.Load()
+		w.relay.Started = time.Now()
+		w.views.Publish(nil)
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			w.views.Publish(&view.View{Term: 1})
+			time.Sleep(300 * time.Millisecond)
+			w.views.Publish(first)
+		}()
+		w.script = []answer{{status: 200, body: "ok"}}
+		out, err := w.call("/unsafe/x")
+		c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(out.body, qt.Equals, "ok")
+		c.Assert(time.Since(began) >= 600*time.Millisecond, qt.IsTrue)
+	})
+}
+
+func TestWithoutRoutesForLongARequestIsRefusedAtOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, w *world) {
+		w.relay.Started = time.Now()
+		w.views.Publish(nil)
+		began := time.Now()
+		_, err := w.call("/unsafe/x")
+		c.Assert(fault.Is(err, fault.NotReady), qt.IsTrue)
+		held := time.Since(began)
+		c.Assert(held > time.Second && held < 2*time.Second, qt.IsTrue, qt.Commentf("%s", held))
+		began = time.Now()
+		_, err = w.call("/unsafe/x")
+		c.Assert(fault.Is(err, fault.NotReady), qt.IsTrue)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -34,6 +35,8 @@
 	// Observe counts attempts.
 	Observe relay.Observer
 	Draw    func() float64
+	// Started is when this process began to serve.
+	Started time.Time
 }
 
 // Routed is the running traffic part of a process behind a platform's front.
@@ -55,6 +58,7 @@
 		Retries:      o.Retries,
 		Observe:      o.Observe,
 		Draw:         o.Draw,
+		Started:      o.Started,
 		MaxBodyBytes: o.MaxBodyBytes,
 		Log:          node.Log().WithName("relay"),
 	})
