--- a/api/codec/consensus.go
+++ b/api/codec/consensus.go
@@ -1,6 +1,8 @@
 package codec
 
 import (
+	"time"
+
 	"github.com/wagtaildyke/wagtaildyke/api"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 )
@@ -18,6 +20,9 @@
 		Hint:     m.Hint,
 		Round:    m.Round,
 		Transfer: m.Transfer,
+		Cold:     m.Cold,
+
+		UptimeNanos: int64(m.Uptime),
 	}
 	for _, e := range m.Entries {
 		out.Entries = append(out.Entries, fromEntry(e))
@@ -41,6 +46,8 @@
 		Hint:     p.GetHint(),
 		Round:    p.GetRound(),
 		Transfer: p.GetTransfer(),
+		Cold:     p.GetCold(),
+		Uptime:   time.Duration(p.GetUptimeNanos()),
 	}
 	for _, e := range p.GetEntries() {
 		out.Entries = append(out.Entries, toEntry(e))
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -66,6 +66,7 @@
 	electionAt time.Duration
 	// refuseVotesUntil is the promise on which leases rest.
 	refuseVotesUntil time.Duration
+	cold             coldStart
 
 	lead     *leadership
 	disk     writes
@@ -78,10 +79,11 @@
 	quorum     func(voters int) int
 	mayCommit  func(entryTerm, term uint64) bool
 	leaseRatio func(drift float64) float64
+	coldQuorum func(voters []NodeID, agreed map[NodeID]bool) bool
 }
 
 func safeRules() rules {
-	return rules{quorum: majority, mayCommit: ownTerm, leaseRatio: leaseRatio}
+	return rules{quorum: majority, mayCommit: ownTerm, leaseRatio: leaseRatio, coldQuorum: allAgreed}
 }
 
 func majority(voters int) int { return voters/2 + 1 }
@@ -181,6 +183,8 @@
 		c.started = true
 		c.epoch = now
 		c.refuseVotesUntil = c.cfg.ElectionTimeout
+		c.cold.fresh = true
+		c.cold.round = c.rng.Uint64() >> 1
 		c.resetElection()
 		return
 	}
@@ -194,11 +198,16 @@
 		c.tickLeader()
 		return
 	}
-	if c.now >= c.electionAt {
-		c.resetElection()
-		if c.mayLead() {
-			c.preCampaign()
-		}
+	if c.now < c.electionAt {
+		return
+	}
+	c.resetElection()
+	switch {
+	case !c.mayLead():
+	case c.isCold():
+		c.askCold()
+	default:
+		c.preCampaign()
 	}
 }
 
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -8,6 +8,9 @@
 func (c *Core) resetElection() {
 	timeout := c.cfg.ElectionTimeout
 	c.electionAt = c.now + timeout + time.Duration(c.rng.Int64N(int64(timeout)))
+	if c.isCold() {
+		c.electionAt = c.nextColdQuestion()
+	}
 }
 
 // becomeFollower takes over a term. A leader that steps down fails its reads
@@ -31,31 +34,32 @@
 	c.role, c.leader = preCandidate, ""
 	c.votes = map[NodeID]bool{c.cfg.ID: true}
 	if c.wonVotes() {
-		c.campaign(false)
+		c.campaign(Message{})
 		return
 	}
-	c.requestVotes(MsgPreVote, c.term+1, false)
+	c.requestVotes(Message{Kind: MsgPreVote, Term: c.term + 1})
 }
 
-// campaign starts an election. The own vote counts once it is durable.
-func (c *Core) campaign(transfer bool) {
+// campaign starts an election; why carries what lets voters answer although they
+// refuse votes. The own vote counts once it is durable.
+func (c *Core) campaign(why Message) {
 	c.role, c.leader = candidate, ""
 	c.term, c.vote = c.term+1, c.cfg.ID
 	c.disk.hardState = true
 	c.votes = map[NodeID]bool{}
 	c.resetElection()
-	c.requestVotes(MsgVote, c.term, transfer)
+	c.requestVotes(Message{Kind: MsgVote, Term: c.term, Transfer: why.Transfer, Cold: why.Cold})
 	c.sendAfterWrite(Message{Kind: MsgVoteReply, To: c.cfg.ID})
 }
 
-func (c *Core) requestVotes(kind MessageKind, term uint64, transfer bool) {
+func (c *Core) requestVotes(m Message) {
+	m.LogIndex, m.LogTerm = c.log.last(), c.log.lastTerm()
 	for _, id := range c.members().Voters {
 		if id == c.cfg.ID {
 			continue
 		}
-		m := Message{Kind: kind, To: id, Term: term, Transfer: transfer}
-		m.LogIndex, m.LogTerm = c.log.last(), c.log.lastTerm()
-		if kind == MsgPreVote {
+		m.To = id
+		if m.Kind == MsgPreVote {
 			c.send(m)
 			continue
 		}
@@ -95,6 +99,10 @@
 		c.send(reply)
 		return
 	}
+	if m.Cold {
+		c.receiveColdPreVote(m)
+		return
+	}
 	if !c.refusesVotes() {
 		c.send(reply)
 	}
@@ -104,7 +112,7 @@
 // replica refuses votes.
 func (c *Core) receiveVote(m Message) {
 	if m.Term > c.term {
-		if c.refusesVotes() && !m.Transfer {
+		if c.refusesVotes() && !m.Transfer && !c.keepsColdPromise(m) {
 			return
 		}
 		c.becomeFollower(m.Term, "")
@@ -125,12 +133,16 @@
 }
 
 func (c *Core) receivePreVoteReply(m Message) {
+	if m.Cold && !m.Reject {
+		c.receiveColdReply(m)
+		return
+	}
 	if c.role != preCandidate || m.Reject || m.Term != c.term+1 {
 		return
 	}
 	c.votes[m.From] = true
 	if c.wonVotes() {
-		c.campaign(false)
+		c.campaign(Message{})
 	}
 }
 
@@ -147,6 +159,6 @@
 // receiveTimeoutNow starts the election that a leader asked for.
 func (c *Core) receiveTimeoutNow(m Message) {
 	if m.Term == c.term && c.role != leader && c.mayLead() {
-		c.campaign(true)
+		c.campaign(Message{Transfer: true})
 	}
 }
--- a/root/control/consensus/faults_test.go
+++ b/root/control/consensus/faults_test.go
@@ -162,6 +162,18 @@
 	w.recover()
 }
 
+// herdRestart restarts all replicas but one at the same moment.
+func (w *world) herdRestart() {
+	spared := w.pick((*node).running)
+	for _, n := range w.nodes {
+		if n != spared && n.running() {
+			w.stop(n)
+			n.start(w)
+		}
+	}
+	w.run(choose(w, []int{5, 20, 40}), 20*time.Millisecond)
+}
+
 // loseDisk ends an identity for good; its VM returns as a learner under a new one.
 func (w *world) loseDisk(n *node) {
 	n.core, n.writing, n.disk, n.logStart = nil, nil, Restored{}, position{}
--- a/root/control/consensus/leader.go
+++ b/root/control/consensus/leader.go
@@ -29,6 +29,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes = leader, c.cfg.ID, nil
+	c.cold.fresh = false
 	c.lead = &leadership{electedAt: c.now, peers: map[NodeID]*peer{}}
 	c.syncPeers()
 	c.lead.firstIndex = c.propose(Entry{Kind: EntryNoop})
--- a/root/control/consensus/lease.go
+++ b/root/control/consensus/lease.go
@@ -92,9 +92,10 @@
 }
 
 // leaseUntil returns the end of the lease, or 0 without one. A leader has none
-// before it is settled or after it told another voter to take over.
+// before it is settled, after it told another voter to take over, or once it takes
+// itself out of the voters: a cold start would not ask it.
 func (c *Core) leaseUntil() time.Duration {
-	if c.role != leader || !c.settled() || c.lead.transfer.sent {
+	if c.role != leader || !c.settled() || c.lead.transfer.sent || !c.members().isVoter(c.cfg.ID) {
 		return 0
 	}
 	ratio := c.rules.leaseRatio(c.cfg.MaxClockDrift)
--- a/root/control/consensus/receive.go
+++ b/root/control/consensus/receive.go
@@ -64,6 +64,7 @@
 	if c.role != follower || c.leader != m.From {
 		c.becomeFollower(m.Term, m.From)
 	}
+	c.cold.fresh = false
 	c.resetElection()
 	c.refuseVotesUntil = max(c.refuseVotesUntil, c.now+c.cfg.ElectionTimeout)
 	return true
--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -79,11 +79,16 @@
 	// Reject is set on a negative reply; Hint is then the index to retry from.
 	Reject bool
 	Hint   uint64
-	// Round numbers heartbeat rounds; a reply echoes it for leases and reads.
+	// Round numbers heartbeat rounds, or the questions of a cold start; a reply
+	// echoes it.
 	Round uint64
 	// Transfer is set on a MsgVote that a MsgTimeoutNow caused: the leader gave
 	// up its lease, so voters answer although they heard from it.
 	Transfer bool
+	// Cold marks the messages of an election after all voters have started anew,
+	// and Uptime is how long the sender of a reply has been up by its own clock.
+	Cold   bool
+	Uptime time.Duration
 }
 
 // Persist is one batch of writes. The caller reports Seq back by Persisted once
@@ -154,6 +159,7 @@
 	MaxClockDrift float64
 	// MaxBatchBytes bounds the entries in one message.
 	MaxBatchBytes int
-	// Seed drives the random part of timeouts.
+	// Seed drives the random part of timeouts. It must differ from one start of a
+	// replica to the next.
 	Seed uint64
 }
--- a/root/control/machine/failover_test.go
+++ b/root/control/machine/failover_test.go
@@ -19,6 +19,7 @@
 	for seed := uint64(1); seed <= seeds; seed++ {
 		w := newWorld(seed, machine.RuleNone)
 		old := w.settle()
+		w.play(time.Second)
 		old.crash()
 		next := w.nextLeader(old)
 		w.play(next.m.Timing().RenewTimeout / 4)
