--- a/root/traffic/placement/spare.go
+++ b/root/traffic/placement/spare.go
@@ -49,15 +49,16 @@
 	return Way{Apart: true}
 }
 
-// spare returns one of this entry's decode engines that reads the prompt within
-// the limit. Each decode engine reads long prompts for one entry, and one at a
-// time, so that they don't queue there.
+// spare returns a decode engine that reads the prompt within the limit: one of this
+// entry's, or the keeper, which copies nothing. Each decode engine reads other long
+// prompts for one entry, and one at a time, so that they don't queue there.
 func (s *State) spare(now time.Time, w Work, limit time.Duration) string {
 	w.Stage = Whole
 	best, id := limit, ""
+	keeper := s.keeper(&w)
 	for i, c := range s.candidates(now, &w) {
 		srv := s.byID[c.Server.ID]
-		if !s.isOwn(i) || srv.longs > 0 || c.Avoided || c.Running > spareRunning {
+		if !s.isOwn(i) && srv != keeper || srv.longs > 0 || c.Avoided || c.Running > spareRunning {
 			continue
 		}
 		if c.Reading < best {
