--- a/api/codec/command.go
+++ b/api/codec/command.go
@@ -46,6 +46,9 @@
 			return nil, err
 		}
 		m.Body = &api.LogCommand_ReplaceRoutes{ReplaceRoutes: &api.LogReplaceRoutes{Routes: data, AtMs: c.At}}
+	case replicated.RecordFleet:
+		body := &api.LogRecordFleet{Servers: fromRecordedServers(c.Servers), Removed: c.Removed, AtMs: c.At}
+		m.Body = &api.LogCommand_RecordFleet{RecordFleet: body}
 	case replicated.ReadRoutes:
 		m.Body = &api.LogCommand_ReadRoutes{ReadRoutes: &api.LogReadRoutes{AtMs: c.At}}
 	default:
@@ -97,6 +100,9 @@
 			return nil, corrupt("a replacement without routes")
 		}
 		return replicated.ReplaceRoutes{Document: document, At: b.ReplaceRoutes.AtMs}, err
+	case *api.LogCommand_RecordFleet:
+		servers, err := toRecordedServers(b.RecordFleet.Servers)
+		return replicated.RecordFleet{Servers: servers, Removed: b.RecordFleet.Removed, At: b.RecordFleet.AtMs}, err
 	case *api.LogCommand_ReadRoutes:
 		return replicated.ReadRoutes{At: b.ReadRoutes.AtMs}, nil
 	default:
--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/api"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 )
@@ -24,6 +25,9 @@
 		Authority: fromAuthority(s.Authority),
 		Routes:    document,
 	}
+	for _, id := range sortedKeys(s.Fleet) {
+		m.Fleet = append(m.Fleet, fromRecordedServers([]fleet.Server{s.Fleet[id]})...)
+	}
 	for _, id := range sortedKeys(s.Drains) {
 		d := s.Drains[id]
 		m.Drains = append(m.Drains, &api.LogDrain{Id: id, By: d.By, SinceMs: d.Since})
@@ -94,6 +98,16 @@
 	if out.Authority, err = toAuthority(m.Authority); err != nil {
 		return none, err
 	}
+	servers, err := toRecordedServers(m.Fleet)
+	if err != nil {
+		return none, err
+	}
+	for _, server := range servers {
+		if out.Fleet == nil {
+			out.Fleet = make(map[string]fleet.Server, len(servers))
+		}
+		out.Fleet[server.ID] = server
+	}
 	if out.Routes, err = toRoutes(m.Routes); err != nil {
 		return none, err
 	}
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	s = s.completedBy(e.server)
-	changed := !sameAnnouncement(e.server, s)
+	changed := !s.AnnouncesLike(e.server)
 	e.server = s
 	e.lastHeard = heardAt
 	e.seeded = false
@@ -133,8 +133,10 @@
 	return s.State == Leaving || e.seeded || heardAt.After(e.lastHeard)
 }
 
-func sameAnnouncement(a, b Server) bool {
-	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.State == b.State &&
+// AnnouncesLike reports whether two announcements say the same but for load and
+// sequence.
+func (a Server) AnnouncesLike(b Server) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Address == b.Address && a.State == b.State &&
 		a.Role == b.Role && a.Slots == b.Slots && slices.Equal(a.Targets, b.Targets) &&
 		a.FailureDomain == b.FailureDomain
 }
@@ -239,6 +241,22 @@
 	return e.server.Load, e.lastHeard, true
 }
 
+// Announced returns a sorted copy of the backend servers that run by their own
+// word and have not fallen silent, without their loads.
+func (t *Tracker) Announced() []Server {
+	out := make([]Server, 0, len(t.servers))
+	for _, e := range t.servers {
+		s := e.server
+		if s.State == Leaving || s.State == Suspected {
+			continue
+		}
+		s.Load = Load{}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Servers returns a sorted copy of all backend servers. Running is at least
 // the sum of the entries' own counts. One that left before it was known is kept
 // from view: it only stops a late announcement from bringing it back.
--- a/root/control/machine/inforce.go
+++ b/root/control/machine/inforce.go
@@ -97,6 +97,8 @@
 		return
 	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes:
 		l.fleetChanged()
+	case replicated.RecordFleet:
+		l.recordAgainAt = time.Time{}
 	}
 	l.orders.applied(cmd, result)
 	if mine {
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -41,6 +41,8 @@
 	shares  *shares
 	// partialUntil is when the picture of the fleet counts as whole.
 	partialUntil time.Time
+	// recordAgainAt is when the fleet may be recorded in the log again.
+	recordAgainAt time.Time
 	// reads holds the linearizable reads that wait for the log.
 	reads    map[uint64]proposer
 	lastRead uint64
@@ -78,6 +80,7 @@
 	before := m.member.current
 	l.fleet.Seed(before.Servers, before.VMs, m.now)
 	if len(before.Servers) == 0 {
+		l.fleet.Seed(recordedServers(r.state), nil, m.now)
 		l.partialUntil = m.now.Add(m.cfg.Timing.FleetSettle)
 		l.journal.SetPartial(true)
 	}
@@ -278,6 +281,7 @@
 	l.sweepAt = now.Add(l.m.cfg.Timing.LeaderSweep)
 	l.settle()
 	l.dropSilentMember()
+	l.recordFleet()
 	if l.fleet.Expire(now) {
 		l.rebuild()
 	}
--- /dev/null
+++ b/root/control/machine/record_test.go
@@ -0,0 +1,60 @@
+package machine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+// TestServersAreKnownAfterAPowerLoss: views show the servers of before, in their
+// state, before any has spoken again.
+func TestServersAreKnownAfterAPowerLoss(t *testing.T) {
+	c := qt.New(t)
+	for _, state := range []fleet.State{fleet.Active, fleet.Draining} {
+		w := newWorld(1, machine.RuleNone)
+		w.settle()
+		w.announceState(w.nodes[replicas], 1, state)
+		w.play(2 * time.Second)
+		c.Assert(w.shown(state), qt.IsTrue)
+		w.powerLoss()
+		w.settle()
+		w.play(time.Second)
+		c.Assert(w.shown(state), qt.IsTrue)
+	}
+}
+
+// TestAServerThatLeftIsNotKnownAfterAPowerLoss also holds for one that fell silent.
+func TestAServerThatLeftIsNotKnownAfterAPowerLoss(t *testing.T) {
+	c := qt.New(t)
+	for _, silent := range []bool{false, true} {
+		w := newWorld(1, machine.RuleNone)
+		w.settle()
+		w.announceState(w.nodes[replicas], 1, fleet.Active)
+		w.play(2 * time.Second)
+		if !silent {
+			w.nodes[replicas].step(machine.Departed{Server: engineID, Incarnation: 1})
+		}
+		w.play(7 * time.Second)
+		w.powerLoss()
+		w.settle()
+		w.play(time.Second)
+		for _, n := range w.nodes {
+			c.Assert(n.view.Servers, qt.HasLen, 0)
+		}
+	}
+}
+
+// powerLoss restarts everything; what was on its way is lost.
+func (w *world) powerLoss() {
+	for _, n := range w.nodes {
+		n.crash()
+	}
+	w.mail = nil
+	for _, n := range w.nodes {
+		n.start()
+	}
+}
--- a/root/control/replicated/command.go
+++ b/root/control/replicated/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
@@ -85,6 +86,17 @@
 	At int64
 }
 
+// RecordFleet keeps which backend servers there are, so that a leader that starts
+// without a view knows them before they speak.
+type RecordFleet struct {
+	// Servers are new or changed; their loads are not kept.
+	Servers []fleet.Server
+	// Removed names those that are gone.
+	Removed []string
+	// At is Unix milliseconds.
+	At int64
+}
+
 // Tick moves the time on, so that retentions run out without other commands.
 type Tick struct {
 	// At is Unix milliseconds.
@@ -110,12 +122,18 @@
 func (c Tick) at() int64             { return c.At }
 func (c ReplaceRoutes) at() int64    { return c.At }
 func (c ReadRoutes) at() int64       { return c.At }
+func (c RecordFleet) at() int64      { return c.At }
 
 func (c ChangeTable) stamped(at int64) Command {
 	c.At = at
 	return c
 }
 
+func (c RecordFleet) stamped(at int64) Command {
+	c.At = at
+	return c
+}
+
 func (c BeginWork) stamped(at int64) Command {
 	c.At = at
 	return c
--- a/root/control/replicated/state.go
+++ b/root/control/replicated/state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
@@ -41,6 +42,8 @@
 	drains  map[string]Drain
 	fencing map[string]FencingSetting
 	routes  *routes.State
+	// fleet is replaced, never changed in place.
+	fleet map[string]fleet.Server
 }
 
 // New returns the state before the first command.
@@ -66,6 +69,7 @@
 		drains:    make(map[string]Drain),
 		fencing:   make(map[string]FencingSetting),
 		routes:    new(routes.State),
+		fleet:     make(map[string]fleet.Server),
 	}, nil
 }
 
@@ -119,6 +123,7 @@
 	Fencing   map[string]FencingSetting
 	// Routes is nil before the first document.
 	Routes *routes.Document
+	Fleet  map[string]fleet.Server
 }
 
 // Snapshot returns the state at this moment. Later commands don't affect it.
@@ -132,13 +137,14 @@
 		Drains:    s.drains,
 		Fencing:   s.fencing,
 		Routes:    s.routes.Document(),
+		Fleet:     s.fleet,
 	}
 }
 
 // Restore returns a state equal to the one that made the snapshot. The error is
 // of kind fault.Corrupt.
 func Restore(snap Snapshot) (*State, error) {
-	if len(snap.Drains) > MaxDrains || len(snap.Fencing) > authority.MaxServers {
+	if len(snap.Drains) > MaxDrains || max(len(snap.Fencing), len(snap.Fleet)) > authority.MaxServers {
 		return nil, fault.New(fault.Corrupt, part, "the snapshot is larger than its bounds")
 	}
 	t, err := table.Restore(snap.Table)
@@ -160,6 +166,7 @@
 	s := &State{index: snap.Index, now: snap.Now, table: t, ledger: l, authority: a, routes: r}
 	s.drains = orEmpty(snap.Drains)
 	s.fencing = orEmpty(snap.Fencing)
+	s.fleet = orEmpty(snap.Fleet)
 	return s, nil
 }
 
