--- a/root/process.go
+++ b/root/process.go
@@ -182,6 +182,7 @@
 	store, restored, id, err := storage.Open(p.settings.Replica.DataFolder, storage.Options{
 		Cluster:    p.settings.Cluster,
 		NewReplica: p.newIdentity(),
+		Full:       p.diskFull,
 	})
 	if err != nil {
 		return nil, err
@@ -233,6 +234,14 @@
 	_ = p.loop.Post(context.Background(), machine.Persisted{Seq: seq})
 }
 
+func (p *Process) diskFull(name string, waits bool) {
+	if waits {
+		p.log.Error(nil, "the disk is full: this replica acknowledges nothing until there is room", "file", name)
+		return
+	}
+	p.log.Info("there is room on the disk again", "file", name)
+}
+
 func (p *Process) writeFailed(err error) { p.halt(fault.From(err)) }
 
 func (p *Process) halt(err *fault.Error) {
--- a/root/storage/store.go
+++ b/root/storage/store.go
@@ -30,11 +30,14 @@
 	SegmentBytes int64
 	// FS is the file system; nil for that of the operating system.
 	FS files.FS
+	// Full is called when a write begins to wait for room on the disk and when it
+	// goes on; nil for nobody.
+	Full func(name string, waits bool)
 }
 
 // Store is an open data folder. It is not safe for concurrent use.
 type Store struct {
-	fs     files.FS
+	fs     *files.Patient
 	folder string
 	log    *wal.Log
 	torn   *wal.Torn
@@ -64,7 +67,10 @@
 	if err != nil {
 		return nil, consensus.Restored{}, Identity{}, err
 	}
-	s := &Store{fs: opts.FS, folder: folder, unlock: unlock}
+	if opts.Full == nil {
+		opts.Full = func(string, bool) {}
+	}
+	s := &Store{fs: files.NewPatient(opts.FS, opts.Full), folder: folder, unlock: unlock}
 	id, err := loadIdentity(opts.FS, folder, opts)
 	if err != nil {
 		unlock()
@@ -147,11 +153,15 @@
 	return found.Entries[index-found.Base.Index-1].Term
 }
 
+// GiveUp ends waiting for room on a full disk, now and later. It may be called
+// from any goroutine.
+func (s *Store) GiveUp() { s.fs.GiveUp() }
+
 // Torn returns what Open cut off the log's end, or nil.
 func (s *Store) Torn() *wal.Torn { return s.torn }
 
 // Write makes a batch durable: snapshots first, then the log and the hard state
-// with one sync. After an error the store refuses all writes, since what is on
+// with one sync. A full disk is waited for. After an error the store refuses all writes, since what is on
 // disk is unknown. Kinds: Unavailable, TooLarge, Invalid.
 func (s *Store) Write(batch []consensus.Persist) error {
 	if s.failed == nil {
--- a/root/storage/writer.go
+++ b/root/storage/writer.go
@@ -42,10 +42,12 @@
 	}
 }
 
-// Serve writes until ctx ends; what was queued by then is still written. A
-// write error ends the supervisor tree: it is never retried, because the state
+// Serve writes until ctx ends; what was queued by then is still written, unless the
+// disk is full. A write error ends the supervisor tree: it is never retried, because the state
 // on disk is unknown.
 func (w *Writer) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, w.store.GiveUp)
+	defer stop()
 	for {
 		if err := w.writeQueued(); err != nil {
 			w.failed(err)
