--- a/root/control/machine/export_test.go
+++ b/root/control/machine/export_test.go
@@ -1,5 +1,7 @@
 package machine
 
+import "github.com/wagtaildyke/wagtaildyke/root/control/consensus"
+
 // Break takes one safety rule out of a machine, for tests that show that the
 // loss is noticed.
 func (m *Machine) Break(r Rule) { m.broken = r }
@@ -7,6 +9,12 @@
 // Leads reports whether the machine believes that it leads.
 func (m *Machine) Leads() bool { return m.replica != nil && m.replica.leader != nil }
 
+// Members returns the replica's newest set of members.
+func (m *Machine) Members() consensus.Members { return m.replica.core.Status().Members }
+
+// Routes returns the version of the routes that the replica has applied.
+func (m *Machine) Routes() uint64 { return m.replica.state.ReadRoutes().Version }
+
 // Timing returns the machine's timing.
 func (m *Machine) Timing() Timing { return m.cfg.Timing }
 
@@ -22,4 +30,5 @@
 	RuleLeaderLease     = ruleLeaderLease
 	RuleDrainBeforeSend = ruleDrainBeforeSend
 	RuleOwnOrders       = ruleOwnOrders
+	RuleKeepVoters      = ruleKeepVoters
 )
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -373,7 +373,7 @@
 	next := consensus.Members{Voters: slices.Clone(cur.Voters), Learners: slices.Clone(cur.Learners)}
 	if i := slices.IndexFunc(next.Learners, l.isSilent); i >= 0 {
 		next.Learners = slices.Delete(next.Learners, i, i+1)
-	} else if i := slices.IndexFunc(next.Voters, l.isSilent); i >= 0 && len(next.Voters) > minVoters {
+	} else if i := slices.IndexFunc(next.Voters, l.isSilent); i >= 0 && (len(next.Voters) > minVoters || !l.m.keeps(ruleKeepVoters)) {
 		next.Voters = slices.Delete(next.Voters, i, i+1)
 	} else {
 		return
--- a/root/control/machine/rules.go
+++ b/root/control/machine/rules.go
@@ -20,6 +20,8 @@
 	ruleDrainBeforeSend
 	// ruleOwnOrders leaves an unsettled order of this process to its sender.
 	ruleOwnOrders
+	// ruleKeepVoters takes no silent voter out of the last three.
+	ruleKeepVoters
 )
 
 // keeps reports whether the machine keeps a rule.
