--- a/cmd/wagtaildyke/log.go
+++ b/cmd/wagtaildyke/log.go
@@ -56,7 +56,7 @@
 // Handle writes one record.
 func (p parts) Handle(ctx context.Context, r slog.Record) error {
 	part := rootPart
-	var rest []slog.Attr
+	rest := make([]slog.Attr, 1, r.NumAttrs()+1)
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == loggerKey {
 			part = a.Value.String()
@@ -65,10 +65,12 @@
 		}
 		return true
 	})
-	message := part + ": " + r.Message
+	message := r.Message
 	if p.field {
-		message = r.Message
-		rest = append([]slog.Attr{slog.String(partKey, part)}, rest...)
+		rest[0] = slog.String(partKey, part)
+	} else {
+		message = part + ": " + r.Message
+		rest = rest[1:]
 	}
 	out := slog.NewRecord(r.Time, r.Level, message, r.PC)
 	out.AddAttrs(rest...)
--- a/root/counters.go
+++ b/root/counters.go
@@ -31,6 +31,7 @@
 		"wagtaildyke_control_steps":      func() float64 { return float64(p.loop.Stats().Steps) },
 	}
 	if p.listeners.Platform.Frontend != nil {
+		out["wagtaildyke_log_lines_dropped"] = func() float64 { return float64(p.routed.LinesDropped()) }
 		out["wagtaildyke_in_flight"] = func() float64 { return float64(p.routed.InFlight()) }
 		out["wagtaildyke_backend_connections_opened"] = func() float64 { return float64(p.routed.Transport.Stats().Opened) }
 	}
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -142,6 +142,7 @@
 type Relay struct {
 	Options
 	inFlight atomic.Int64
+	lines    sampler
 }
 
 // New returns a Relay.
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -91,10 +91,14 @@
 	return fault.Is(err, fault.Cancelled), err
 }
 
-// ended gives a place back and logs how it went.
+// ended gives a place back and logs how it went. Of attempts that went well and on
+// time only a sample is logged.
 func (r *run) ended(lease *placement.Lease, outcome placement.Outcome, err error) {
 	lease.End(outcome)
 	r.Observe.Attempt(lease.Choice().Stage.String(), outcome.String(), lease.Took())
+	if r.wentWell(outcome, err) && !r.lines.take(time.Now()) {
+		return
+	}
 	chosen := lease.Choice()
 	fields := []any{
 		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", chosen.Stage.String(),
@@ -110,6 +114,12 @@
 	r.Log.Info("an attempt ended", fields...)
 }
 
+// wentWell reports whether an attempt was answered while the answer is on time.
+func (r *run) wentWell(outcome placement.Outcome, err error) bool {
+	late := r.route.Objective > 0 && time.Since(r.req.Arrived) > r.route.Objective
+	return outcome == placement.Answered && err == nil && !late
+}
+
 // work is what placement sees of the request.
 func (r *run) work() placement.Work {
 	w := placement.Work{
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -45,6 +45,9 @@
 	Transport *engine.Transport
 	// InFlight returns the number of callers' requests being served.
 	InFlight func() int
+	// LinesDropped returns the number of attempts that went well and have no line
+	// in the log.
+	LinesDropped func() uint64
 }
 
 // NewRouted adds the traffic subtree below o.Ancestor.
@@ -66,6 +69,8 @@
 		Server:    frontdoor.NewServer(o.Listener, o.Front(carrier, node), o.Server),
 		Transport: transport,
 		InFlight:  carrier.InFlight,
+
+		LinesDropped: carrier.LinesDropped,
 	}
 	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
 		node.Passive(name)
