--- a/api/codec/packed.go
+++ b/api/codec/packed.go
@@ -20,6 +20,10 @@
 // without, for views.
 var packedRoutes = newEncodings[routes.Document](4)
 
+// packedDeltas remembers the deltas encoded last: followers at several views hold
+// one of a few versions.
+var packedDeltas = newEncodings[routes.Delta](4)
+
 // fromRoutes returns the compressed document; nil for nil.
 func fromRoutes(d *routes.Document) ([]byte, error) {
 	if d == nil {
@@ -47,7 +51,7 @@
 	if d == nil {
 		return nil, nil
 	}
-	return pack(fromPlainDelta(d))
+	return packedDeltas.of(d, func() ([]byte, error) { return pack(fromPlainDelta(d)) })
 }
 
 // toRoutesDelta returns the delta of compressed bytes; nil for none.
--- a/root/control/view/journal.go
+++ b/root/control/view/journal.go
@@ -32,6 +32,9 @@
 	// documents are the latest documents of routes without their sources, the
 	// newest last.
 	documents []*routes.Document
+	// deltas lead from earlier documents to the current one, by their versions: many
+	// followers hold the same.
+	deltas map[uint64]*routes.Delta
 	// partial is set while members may be missing.
 	partial   bool
 	removed   []removal
@@ -110,6 +113,7 @@
 }
 
 func (j *Journal) remember(d *routes.Document) {
+	j.deltas = map[uint64]*routes.Delta{}
 	j.documents = append(j.documents, d)
 	if len(j.documents) > maxDocuments {
 		j.documents = slices.Delete(j.documents, 0, 1)
@@ -231,13 +235,24 @@
 	if current == nil || held >= current.Version {
 		return
 	}
+	if u.RoutesDelta = j.deltaFrom(held); u.RoutesDelta == nil {
+		u.Routes = current
+	}
+}
+
+// deltaFrom returns what leads from a remembered document to the current one; nil
+// for one that is not remembered.
+func (j *Journal) deltaFrom(version uint64) *routes.Delta {
+	if known := j.deltas[version]; known != nil {
+		return known
+	}
 	for _, d := range j.documents {
-		if d.Version == held {
-			u.RoutesDelta = routes.Diff(d, current)
-			return
+		if d.Version == version {
+			j.deltas[version] = routes.Diff(d, j.current.Routes)
+			return j.deltas[version]
 		}
 	}
-	u.Routes = current
+	return nil
 }
 
 // addLoads adds the new loads of members that are otherwise the same. While
--- a/root/control/view/partial_test.go
+++ b/root/control/view/partial_test.go
@@ -93,6 +93,22 @@
 	c.Assert(next.Servers, qt.DeepEquals, busy)
 }
 
+// TestADeltaIsMadeOnce: a document has thousands of routes, and followers at many
+// views hold the same version.
+func TestADeltaIsMadeOnce(t *testing.T) {
+	c := qt.New(t)
+	j := view.NewJournal(1)
+	j.Set(table.Table{}, &routes.Document{Version: 3}, nil, nil)
+	j.Set(table.Table{}, &routes.Document{Version: 3}, servers("a"), nil)
+	j.Set(table.Table{}, &routes.Document{Version: 5}, servers("a"), nil)
+	first := j.Since(view.Holding{Seq: 1, Routes: 3}).RoutesDelta
+	c.Assert(first.Version, qt.Equals, uint64(5))
+	c.Assert(j.Since(view.Holding{Seq: 2, Routes: 3}).RoutesDelta, qt.Equals, first)
+	c.Assert(j.Since(view.Holding{Routes: 3}).RoutesDelta, qt.Equals, first)
+	j.Set(table.Table{}, &routes.Document{Version: 6}, servers("a"), nil)
+	c.Assert(j.Since(view.Holding{Seq: 2, Routes: 3}).RoutesDelta.Version, qt.Equals, uint64(6))
+}
+
 // TestADeltaOfOtherRoutesIsNotApplied: the follower stays at its view, so that
 // its next Renew brings what it lacks.
 func TestADeltaOfOtherRoutesIsNotApplied(t *testing.T) {
