--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -31,6 +31,10 @@
 	timing  Timing
 	servers map[string]*serverEntry
 	vms     map[string]*vmEntry
+	// byAddress holds the ids of the servers at each address.
+	byAddress map[string][]string
+	// loaded holds the servers on which each VM reported loads.
+	loaded map[string][]string
 }
 
 type serverEntry struct {
@@ -49,7 +53,13 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker(timing Timing) *Tracker {
-	return &Tracker{timing: timing, servers: map[string]*serverEntry{}, vms: map[string]*vmEntry{}}
+	return &Tracker{
+		timing:    timing,
+		servers:   map[string]*serverEntry{},
+		vms:       map[string]*vmEntry{},
+		byAddress: map[string][]string{},
+		loaded:    map[string][]string{},
+	}
 }
 
 // Seed takes over what an earlier view showed, as if heard now. Whoever stays
@@ -58,7 +68,7 @@
 // may send it work.
 func (t *Tracker) Seed(servers []Server, vms []VM, now time.Time) {
 	for _, s := range servers {
-		t.servers[s.ID] = &serverEntry{server: s, lastHeard: now, running: map[string]OwnLoad{}, seeded: true}
+		t.add(&serverEntry{server: s, lastHeard: now, running: map[string]OwnLoad{}, seeded: true})
 	}
 	for _, vm := range vms {
 		t.vms[vm.ID] = &vmEntry{vm: vm, lastHeard: now}
@@ -75,7 +85,7 @@
 	}
 	e := t.servers[s.ID]
 	if e == nil {
-		t.servers[s.ID] = &serverEntry{server: s, lastHeard: heardAt, running: map[string]OwnLoad{}}
+		t.add(&serverEntry{server: s, lastHeard: heardAt, running: map[string]OwnLoad{}})
 		return true
 	}
 	if s.Incarnation < e.server.Incarnation {
@@ -86,12 +96,41 @@
 	}
 	s = s.completedBy(e.server)
 	changed := !s.AnnouncesLike(e.server)
+	if s.Address != e.server.Address {
+		t.leaveAddress(e.server)
+		t.byAddress[s.Address] = append(t.byAddress[s.Address], s.ID)
+	}
 	e.server = s
 	e.lastHeard = heardAt
 	e.seeded = false
 	return changed
 }
 
+// add takes a server that is not known.
+func (t *Tracker) add(e *serverEntry) {
+	id, address := e.server.ID, e.server.Address
+	if t.servers[id] != nil {
+		t.leaveAddress(t.servers[id].server)
+	}
+	t.servers[id] = e
+	t.byAddress[address] = append(t.byAddress[address], id)
+}
+
+// remove forgets a server.
+func (t *Tracker) remove(id string) {
+	t.leaveAddress(t.servers[id].server)
+	delete(t.servers, id)
+}
+
+func (t *Tracker) leaveAddress(s Server) {
+	left := slices.DeleteFunc(t.byAddress[s.Address], func(id string) bool { return id == s.ID })
+	if len(left) == 0 {
+		delete(t.byAddress, s.Address)
+		return
+	}
+	t.byAddress[s.Address] = left
+}
+
 // completedBy fills in a leave that was passed on by a process that did not know
 // the server.
 func (s Server) completedBy(known Server) Server {
@@ -109,14 +148,14 @@
 	if s.Address == "" || s.Sequence == 0 {
 		return true
 	}
-	for id, e := range t.servers {
-		if id == s.ID || e.server.Address != s.Address {
+	for _, id := range slices.Clone(t.byAddress[s.Address]) {
+		if id == s.ID {
 			continue
 		}
-		if e.server.Incarnation > s.Incarnation {
+		if t.servers[id].server.Incarnation > s.Incarnation {
 			return false
 		}
-		delete(t.servers, id)
+		t.remove(id)
 	}
 	return true
 }
@@ -160,22 +199,28 @@
 
 // HearLoads replaces one VM's own loads on all backend servers.
 func (t *Tracker) HearLoads(vm string, loads []OwnLoad) {
-	for _, e := range t.servers {
-		delete(e.running, vm)
-	}
+	t.dropLoads(vm)
 	for _, l := range loads {
 		if e := t.servers[l.Server]; e != nil {
 			e.running[vm] = l
+			t.loaded[vm] = append(t.loaded[vm], l.Server)
 		}
 	}
 }
 
+func (t *Tracker) dropLoads(vm string) {
+	for _, id := range t.loaded[vm] {
+		if e := t.servers[id]; e != nil {
+			delete(e.running, vm)
+		}
+	}
+	delete(t.loaded, vm)
+}
+
 // Forget removes a VM that has stopped.
 func (t *Tracker) Forget(vm string) {
 	delete(t.vms, vm)
-	for _, e := range t.servers {
-		delete(e.running, vm)
-	}
+	t.dropLoads(vm)
 }
 
 // Expire applies the bounds on silence and reports whether a state changed.
@@ -184,7 +229,7 @@
 	for id, e := range t.servers {
 		switch silent := now.Sub(e.lastHeard); {
 		case silent >= t.timing.RemoveAfter:
-			delete(t.servers, id)
+			t.remove(id)
 			changed = true
 		case silent >= t.timing.SuspectAfter && e.server.State == Active:
 			e.server.State = Suspected
--- a/root/control/machine/drain_test.go
+++ b/root/control/machine/drain_test.go
@@ -89,3 +89,55 @@
 		c.Assert(n.view.Servers, qt.HasLen, 0)
 	}
 }
+
+// TestALeaveOutlivesTheLeaderThatHeardIt: it is said once, and the leader may end
+// before anybody else knows.
+func TestALeaveOutlivesTheLeaderThatHeardIt(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 10; seed++ {
+		w := newWorld(seed, machine.RuleNone)
+		leader := w.settle()
+		entry := w.nodes[replicas]
+		w.announceState(w.nodes[replicas+1], 1, fleet.Active)
+		w.play(2 * time.Second)
+		for _, n := range w.nodes {
+			if n != entry {
+				w.cutBoth(leader, n)
+			}
+		}
+		entry.step(machine.Departed{Server: engineID, Incarnation: 1})
+		// Long enough for a second Renew that need not say it again.
+		w.play(560 * time.Millisecond)
+		leader.crash()
+		clear(w.cut)
+		w.play(5 * time.Second)
+		c.Assert(w.shown(fleet.Leaving), qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestAnAnnouncementIsReportedOnce bounds what a Renew carries: what the leader has
+// answered for is not said again.
+func TestAnAnnouncementIsReportedOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1, machine.RuleNone)
+	w.settle()
+	w.play(time.Second)
+	w.announceState(w.nodes[replicas], 1, fleet.Active)
+	reports := 0
+	for end := w.now.Add(3 * time.Second); w.now.Before(end); {
+		w.advance()
+		reports += w.reportsOnTheWay()
+	}
+	c.Assert(reports > 0 && reports <= 4, qt.IsTrue, qt.Commentf("seen on the way %d times", reports))
+}
+
+// reportsOnTheWay counts the Renews under way that carry an announcement.
+func (w *world) reportsOnTheWay() int {
+	n := 0
+	for _, m := range w.mail {
+		if r, ok := m.msg.(machine.Renew); ok && len(r.Heard) > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/root/control/machine/member.go
+++ b/root/control/machine/member.go
@@ -23,9 +23,13 @@
 	waiting   bool
 	waitUntil time.Time
 	heard     map[string]heard
-	own       Traffic
-	state     fleet.State
-	stopped   bool
+	// reported is when the last Renew was sent that the leader of reportedTerm has
+	// answered, since the start: it knows what was heard before.
+	reported     time.Duration
+	reportedTerm uint64
+	own          Traffic
+	state        fleet.State
+	stopped      bool
 }
 
 type heard struct {
@@ -169,7 +173,8 @@
 	return b.m.replica.id
 }
 
-// freshAnnouncements returns what was heard lately and forgets the rest.
+// freshAnnouncements returns what was heard lately and the leader does not know, and
+// forgets what is old.
 func (b *member) freshAnnouncements() []fleet.Heard {
 	out := make([]fleet.Heard, 0, len(b.heard))
 	for _, id := range sortedKeys(b.heard) {
@@ -179,7 +184,9 @@
 			delete(b.heard, id)
 			continue
 		}
-		out = append(out, fleet.Heard{Server: h.server, Age: age})
+		if h.at.Sub(b.m.started) >= b.reported {
+			out = append(out, fleet.Heard{Server: h.server, Age: age})
+		}
 	}
 	return out
 }
@@ -226,6 +233,7 @@
 		return
 	}
 	b.leader = from
+	b.noteReported(g)
 	inForce := g.Update == nil || b.adopt(g.Update)
 	if g.Lease == 0 {
 		if g.Confirm || !inForce {
@@ -245,6 +253,18 @@
 	}
 }
 
+// noteReported notes what the leader knows by its answer. The leader of another term
+// is told everything again, at once: a leave is said only once.
+func (b *member) noteReported(g Grant) {
+	switch {
+	case g.Term != b.reportedTerm:
+		b.reported, b.reportedTerm = 0, g.Term
+		b.nextRenew = b.m.now
+	case g.Lease > 0:
+		b.reported = max(b.reported, g.Echo)
+	}
+}
+
 // adopt puts an update in force when it is news. It reports false for one that
 // starts from a view or routes that this process does not have.
 func (b *member) adopt(u *view.Update) bool {
