--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -52,10 +52,12 @@
 type leaseHolder struct {
 	vm fleet.VM
 	// until is when the lease has run out by this clock, drift included.
-	until        time.Time
-	holds        view.Holding
-	tableVersion uint64
-	demands      []fleet.Demand
+	until time.Time
+	// holds is what its last Renew named, pushed what it has if no push since was
+	// lost: a push builds on that, and one that can't be applied brings a Renew.
+	holds, pushed view.Holding
+	tableVersion  uint64
+	demands       []fleet.Demand
 	// loads are its own requests per backend server, counted while the view
 	// loadsSeq of this term was in force for its traffic.
 	loads    []fleet.OwnLoad
@@ -113,11 +115,12 @@
 	updates := map[view.Holding]*view.Update{}
 	for _, id := range sortedKeys(l.holders) {
 		h := l.holders[id]
-		u := updates[h.holds]
+		u := updates[h.pushed]
 		if u == nil {
-			u = l.journal.Since(h.holds)
-			updates[h.holds] = u
+			u = l.journal.Since(h.pushed)
+			updates[h.pushed] = u
 		}
+		h.pushed = l.journal.Holding()
 		l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: u, Confirm: l.awaits(h)})
 	}
 }
@@ -254,9 +257,11 @@
 		h.holds.Seq = msg.ViewSeq
 		h.tableVersion = msg.TableVersion
 	}
+	h.pushed = h.holds
 	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.of(to), Left: l.hasLeft(to)}
 	if h.holds.Seq != l.seq() {
 		g.Update = l.journal.Since(h.holds)
+		h.pushed = l.journal.Holding()
 	}
 	l.m.send(to, g)
 }
--- a/root/control/view/journal.go
+++ b/root/control/view/journal.go
@@ -63,6 +63,15 @@
 	Routes uint64
 }
 
+// Holding returns what a follower holds that has the present view.
+func (j *Journal) Holding() Holding {
+	h := Holding{Seq: j.current.Seq}
+	if j.current.Routes != nil {
+		h.Routes = j.current.Routes.Version
+	}
+	return h
+}
+
 // NewJournal returns the journal of a term that has no view yet.
 func NewJournal(term uint64) *Journal {
 	return &Journal{current: &View{Term: term}, servers: newChanges(), vms: newChanges()}
