--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -106,31 +105,6 @@
 	return changed
 }
 
-// add takes a server that is not known.
-func (t *Tracker) add(e *serverEntry) {
-	id, address := e.server.ID, e.server.Address
-	if t.servers[id] != nil {
-		t.leaveAddress(t.servers[id].server)
-	}
-	t.servers[id] = e
-	t.byAddress[address] = append(t.byAddress[address], id)
-}
-
-// remove forgets a server.
-func (t *Tracker) remove(id string) {
-	t.leaveAddress(t.servers[id].server)
-	delete(t.servers, id)
-}
-
-func (t *Tracker) leaveAddress(s Server) {
-	left := slices.DeleteFunc(t.byAddress[s.Address], func(id string) bool { return id == s.ID })
-	if len(left) == 0 {
-		delete(t.byAddress, s.Address)
-		return
-	}
-	t.byAddress[s.Address] = left
-}
-
 // completedBy fills in a leave that was passed on by a process that did not know
 // the server.
 func (s Server) completedBy(known Server) Server {
@@ -141,25 +115,6 @@
 	return known
 }
 
-// claimAddress forgets a server that ended at the address where s started later.
-// It reports false when s itself is the earlier one. A change of incarnation
-// orders servers of different ids only where incarnations are start times.
-func (t *Tracker) claimAddress(s Server) bool {
-	if s.Address == "" || s.Sequence == 0 {
-		return true
-	}
-	for _, id := range slices.Clone(t.byAddress[s.Address]) {
-		if id == s.ID {
-			continue
-		}
-		if t.servers[id].server.Incarnation > s.Incarnation {
-			return false
-		}
-		t.remove(id)
-	}
-	return true
-}
-
 // accepts reports whether an announcement of the current incarnation is news.
 // Leaving is final for an incarnation.
 func (e *serverEntry) accepts(s Server, heardAt time.Time) bool {
@@ -197,26 +152,6 @@
 	return changed
 }
 
-// HearLoads replaces one VM's own loads on all backend servers.
-func (t *Tracker) HearLoads(vm string, loads []OwnLoad) {
-	t.dropLoads(vm)
-	for _, l := range loads {
-		if e := t.servers[l.Server]; e != nil {
-			e.running[vm] = l
-			t.loaded[vm] = append(t.loaded[vm], l.Server)
-		}
-	}
-}
-
-func (t *Tracker) dropLoads(vm string) {
-	for _, id := range t.loaded[vm] {
-		if e := t.servers[id]; e != nil {
-			delete(e.running, vm)
-		}
-	}
-	delete(t.loaded, vm)
-}
-
 // Forget removes a VM that has stopped.
 func (t *Tracker) Forget(vm string) {
 	delete(t.vms, vm)
@@ -277,15 +212,6 @@
 	return e.server, true
 }
 
-// Reported returns the server's own latest load report and when it was heard.
-func (t *Tracker) Reported(id string) (Load, time.Time, bool) {
-	e := t.servers[id]
-	if e == nil || e.seeded {
-		return Load{}, time.Time{}, false
-	}
-	return e.server.Load, e.lastHeard, true
-}
-
 // Announced returns a sorted copy of the backend servers that run by their own
 // word and have not fallen silent, without their loads.
 func (t *Tracker) Announced() []Server {
@@ -320,11 +246,3 @@
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
-
-func (e *serverEntry) ownLoads() (running, tokens int) {
-	for l := range maps.Values(e.running) {
-		running += l.Running
-		tokens += l.Tokens
-	}
-	return running, tokens
-}
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -1,10 +1,8 @@
 package machine
 
 import (
-	"slices"
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -48,22 +46,6 @@
 	lastRead uint64
 }
 
-// leaseHolder is a process that holds a view lease.
-type leaseHolder struct {
-	vm fleet.VM
-	// until is when the lease has run out by this clock, drift included.
-	until time.Time
-	// holds is what its last Renew named, pushed what it has if no push since was
-	// lost: a push builds on that, and one that can't be applied brings a Renew.
-	holds, pushed view.Holding
-	tableVersion  uint64
-	demands       []fleet.Demand
-	// loads are its own requests per backend server, counted while the view
-	// loadsSeq of this term was in force for its traffic.
-	loads    []fleet.OwnLoad
-	loadsSeq uint64
-}
-
 func newLeader(r *replica, term uint64) *leader {
 	m := r.m
 	l := &leader{
@@ -125,14 +107,6 @@
 	}
 }
 
-// awaits reports whether something waits until the holder has the present view
-// in force: the answer to a change of the table, or a VM that leaves. Other news
-// needs no Renew ahead of time, which in a large fleet would cost the leader as
-// much as the news itself.
-func (l *leader) awaits(h *leaseHolder) bool {
-	return len(l.leaving) > 0 || h.tableVersion < l.tableInView().Version
-}
-
 // fleetChanged makes and pushes a new view, at most one a push interval: after a
 // change of leader every report brings news.
 func (l *leader) fleetChanged() {
@@ -155,21 +129,6 @@
 	return changed
 }
 
-// hasLeft holds once no entry that may answer callers has a view in force in
-// which the VM still takes work.
-func (l *leader) hasLeft(vm string) bool {
-	seq, leaving := l.leaving[vm]
-	if !leaving || l.m.now.Before(l.leasesBefore()) {
-		return false
-	}
-	for id, h := range l.holders {
-		if id != vm && h.holds.Seq < seq && l.m.now.Before(h.until) {
-			return false
-		}
-	}
-	return true
-}
-
 func (l *leader) seq() uint64 { return l.journal.Current().Seq }
 
 func (l *leader) tableInView() *table.Table { return &l.journal.Current().Table }
@@ -237,44 +196,6 @@
 	l.commit(replicated.AbandonWork{Abandon: ledger.Abandon{Entry: vm.ID, Incarnation: vm.Incarnation - 1}}, proposer{})
 }
 
-func (l *leader) grant(to string, msg Renew) {
-	lease := l.m.cfg.Timing.ViewLease
-	h := l.holders[to]
-	if h == nil {
-		h = &leaseHolder{}
-		l.holders[to] = h
-	}
-	h.vm = msg.VM
-	h.until = l.m.now.Add(lease)
-	h.demands = msg.Demands
-	h.loads = msg.Loads
-	h.loadsSeq = 0
-	if msg.LoadsTerm == l.term {
-		h.loadsSeq = msg.LoadsSeq
-	}
-	h.holds, h.tableVersion = view.Holding{Routes: msg.RoutesVersion}, 0
-	if msg.ViewTerm == l.term {
-		h.holds.Seq = msg.ViewSeq
-		h.tableVersion = msg.TableVersion
-	}
-	h.pushed = h.holds
-	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.of(to), Left: l.hasLeft(to)}
-	if h.holds.Seq != l.seq() {
-		g.Update = l.journal.Since(h.holds)
-		h.pushed = l.journal.Holding()
-	}
-	l.m.send(to, g)
-}
-
-// release forgets a process that has drained: it takes no new work any more.
-func (l *leader) release(from string) {
-	delete(l.leaving, from)
-	delete(l.holders, from)
-	l.fleet.Forget(from)
-	l.rebuild()
-	l.checkInForce()
-}
-
 func (l *leader) tick() {
 	now := l.m.now
 	if l.fleetDirty && !now.Before(l.pushAt) {
@@ -306,15 +227,6 @@
 	return l.sweepAt
 }
 
-// dropHolders forgets leases that ran out long ago.
-func (l *leader) dropHolders() {
-	for id, h := range l.holders {
-		if l.m.now.Sub(h.until) > l.m.cfg.Timing.Fleet.RemoveAfter {
-			delete(l.holders, id)
-		}
-	}
-}
-
 // settle ends the time in which the picture of the fleet may lack members.
 func (l *leader) settle() {
 	if l.partialUntil.IsZero() || l.m.now.Before(l.partialUntil) {
@@ -324,101 +236,3 @@
 	l.journal.SetPartial(false)
 	l.rebuild()
 }
-
-// read answers a read of the routes once this leader is known to lead still.
-func (l *leader) read(p proposer) {
-	l.lastRead++
-	l.reads[l.lastRead] = p
-	l.r.core.Read(l.m.now, l.lastRead)
-}
-
-func (l *leader) readDone(res consensus.ReadResult) {
-	p, known := l.reads[res.ID]
-	if !known {
-		return
-	}
-	delete(l.reads, res.ID)
-	if res.Failed || l.r.applied < res.Index {
-		l.m.send(p.vm, NotLeader{Proposal: p.id})
-		return
-	}
-	l.answer(p, l.r.state.ReadRoutes())
-}
-
-// repairMembers brings a replica that returned without its disk back as a
-// learner, takes out its old identity, and promotes it once it has caught up.
-func (l *leader) repairMembers(vm string, id consensus.NodeID) {
-	if id == "" || !l.m.cfg.OpenMembership && !slices.Contains(l.m.cfg.Replicas, vm) {
-		return
-	}
-	st := l.r.core.Status()
-	if slices.Contains(st.Members.Voters, id) {
-		return
-	}
-	next, ok := nextMembers(st.Members, vm, id)
-	if !ok {
-		return
-	}
-	// A change refused now, such as a learner that lags, is tried at the next Renew.
-	_ = l.r.core.ChangeMembers(l.m.now, next)
-}
-
-// minVoters is the number of voters below which silence removes none: one of
-// three may be lost.
-const minVoters = 3
-
-// dropSilentMember takes one replica out of an open membership that has been
-// silent for long, so that replicas gone for good don't weigh on the quorum.
-// One that returns joins again.
-func (l *leader) dropSilentMember() {
-	if !l.m.cfg.OpenMembership || l.m.now.Sub(l.since) < l.m.cfg.Timing.ReplicaRemoveAfter {
-		return
-	}
-	cur := l.r.core.Status().Members
-	next := consensus.Members{Voters: slices.Clone(cur.Voters), Learners: slices.Clone(cur.Learners)}
-	if i := slices.IndexFunc(next.Learners, l.isSilent); i >= 0 {
-		next.Learners = slices.Delete(next.Learners, i, i+1)
-	} else if i := slices.IndexFunc(next.Voters, l.isSilent); i >= 0 && (len(next.Voters) > minVoters || !l.m.keeps(ruleKeepVoters)) {
-		next.Voters = slices.Delete(next.Voters, i, i+1)
-	} else {
-		return
-	}
-	// A change refused now is tried again at the next sweep.
-	_ = l.r.core.ChangeMembers(l.m.now, next)
-}
-
-// isSilent reports whether no process of the replica's VM was heard for long.
-func (l *leader) isSilent(id consensus.NodeID) bool {
-	h := l.holders[VMOf(id)]
-	if h == nil {
-		return VMOf(id) != l.m.cfg.Self.ID
-	}
-	heard := h.until.Add(-l.m.cfg.Timing.ViewLease)
-	return l.m.now.Sub(heard) >= l.m.cfg.Timing.ReplicaRemoveAfter
-}
-
-// nextMembers returns the next single change towards vm taking part as id.
-func nextMembers(cur consensus.Members, vm string, id consensus.NodeID) (consensus.Members, bool) {
-	next := consensus.Members{
-		Voters:   slices.Clone(cur.Voters),
-		Learners: slices.Clone(cur.Learners),
-	}
-	other := func(n consensus.NodeID) bool { return VMOf(n) == vm && n != id }
-	stale := slices.IndexFunc(next.Learners, other)
-	if stale >= 0 {
-		next.Learners = slices.Delete(next.Learners, stale, stale+1)
-		return next, true
-	}
-	if !slices.Contains(next.Learners, id) {
-		next.Learners = append(next.Learners, id)
-		return next, true
-	}
-	old := slices.IndexFunc(next.Voters, other)
-	if old >= 0 && len(next.Voters) > 2 {
-		next.Voters = slices.Delete(next.Voters, old, old+1)
-		return next, true
-	}
-	next.Learners = slices.DeleteFunc(next.Learners, func(n consensus.NodeID) bool { return n == id })
-	next.Voters = append(next.Voters, id)
-	return next, true
-}
