--- a/root/control/machine/record.go
+++ b/root/control/machine/record.go
@@ -11,6 +11,10 @@
 // from the log is made again: longer than a commit takes.
 const recordRetry = 2 * time.Second
 
+// recordAtOnce bounds the servers in one record: at some 110 bytes each it stays well
+// within a batch of the log.
+const recordAtOnce = 1000
+
 // recordFleet keeps in the log which backend servers there are, for a leader that
 // starts without a view after all processes were down. Servers announce themselves
 // once a second or so, and few of them would have to do until then.
@@ -24,7 +28,7 @@
 	known := make(map[string]bool, len(announced))
 	for _, s := range announced {
 		known[s.ID] = true
-		if !s.AnnouncesLike(recorded[s.ID]) {
+		if len(cmd.Servers) < recordAtOnce && !s.AnnouncesLike(recorded[s.ID]) {
 			cmd.Servers = append(cmd.Servers, s)
 		}
 	}
--- a/root/control/machine/record_test.go
+++ b/root/control/machine/record_test.go
@@ -1,6 +1,7 @@
 package machine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +66,26 @@
 }
 
 func nobody(*node) bool { return false }
+
+// TestALargeFleetIsRecordedInParts: more servers than one record takes are all known
+// after a loss of power.
+func TestALargeFleetIsRecordedInParts(t *testing.T) {
+	c := qt.New(t)
+	const servers = 1500
+	w := newWorld(1, machine.RuleNone)
+	w.settle()
+	entry := w.nodes[replicas]
+	for i := range servers {
+		id := fmt.Sprintf("engine-%d", i)
+		entry.step(machine.Announced{Server: fleet.Server{
+			ID: id, Incarnation: 1, Sequence: 1, Address: "http://" + id, Targets: []string{"assistant"}, Slots: 8,
+		}})
+	}
+	w.play(4 * time.Second)
+	w.powerLoss(nobody)
+	w.settle()
+	w.play(2 * time.Second)
+	for _, n := range w.nodes {
+		c.Assert(n.view.Servers, qt.HasLen, servers)
+	}
+}
