--- a/root/control/machine/export_test.go
+++ b/root/control/machine/export_test.go
@@ -12,6 +12,9 @@
 // Members returns the replica's newest set of members.
 func (m *Machine) Members() consensus.Members { return m.replica.core.Status().Members }
 
+// LastIndex returns the index of the replica's last log entry.
+func (m *Machine) LastIndex() uint64 { return m.replica.core.Status().LastIndex }
+
 // Routes returns the version of the routes that the replica has applied.
 func (m *Machine) Routes() uint64 { return m.replica.state.ReadRoutes().Version }
 
--- a/root/control/machine/record_test.go
+++ b/root/control/machine/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,25 @@
 		c.Assert(n.view.Servers, qt.HasLen, servers)
 	}
 }
+
+// TestAServerThatCannotBeRecordedIsLeftOut: the log does not grow by a record that is
+// refused again and again, and other servers are recorded beside it.
+func TestAServerThatCannotBeRecordedIsLeftOut(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1, machine.RuleNone)
+	leader := w.settle()
+	entry := w.nodes[replicas]
+	entry.step(machine.Announced{Server: fleet.Server{
+		ID: strings.Repeat("x", 1000), Incarnation: 1, Sequence: 1, Address: "http://long", Targets: []string{"assistant"}, Slots: 8,
+	}})
+	w.announceState(entry, 1, fleet.Active)
+	// In all shorter than the silence after which a server is suspected.
+	w.play(2 * time.Second)
+	before := leader.m.LastIndex()
+	w.play(2 * time.Second)
+	c.Assert(leader.m.LastIndex(), qt.Equals, before)
+	w.powerLoss(nobody)
+	w.settle()
+	w.play(time.Second)
+	c.Assert(w.shown(fleet.Active), qt.IsTrue)
+}
--- a/root/control/replicated/fleet.go
+++ b/root/control/replicated/fleet.go
@@ -12,13 +12,18 @@
 // changed.
 func (s *State) Fleet() map[string]fleet.Server { return s.fleet }
 
+// MayRecord reports whether the server's id is within its bounds.
+func MayRecord(server fleet.Server) bool {
+	return server.ID != "" && len(server.ID) <= authority.MaxIDBytes
+}
+
 func (c RecordFleet) apply(s *State, _ int64) Result {
 	next := maps.Clone(s.fleet)
 	for _, id := range c.Removed {
 		delete(next, id)
 	}
 	for _, server := range c.Servers {
-		if server.ID == "" || len(server.ID) > authority.MaxIDBytes {
+		if !MayRecord(server) {
 			return Result{Err: fault.New(fault.Invalid, part, "an id has 1 to %d bytes", authority.MaxIDBytes)}
 		}
 		server.Load = fleet.Load{}
--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -37,9 +38,12 @@
 }
 
 // Announce takes a backend server's announcement. The error is of kind
-// fault.Invalid for a service that the routes don't know, and fault.Unavailable
-// when the announcement was not taken.
+// fault.Invalid for a bad id or a service that the routes don't know, and
+// fault.Unavailable when the announcement was not taken.
 func (r *Registrar) Announce(ctx context.Context, s fleet.Server) error {
+	if !replicated.MayRecord(s) {
+		return fault.New(fault.Invalid, part, "the id of a backend server has 1 to %d bytes", authority.MaxIDBytes)
+	}
 	for _, service := range s.Targets {
 		if !r.offers(service) {
 			return fault.New(fault.Invalid, part, "no service %q", service)
--- a/root/gateway/registrar_test.go
+++ b/root/gateway/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,8 @@
 	c.Assert(fault.Is(r.Announce(ctx, forged), fault.Invalid), qt.IsTrue)
 	c.Assert(r.Announce(ctx, fleet.Server{ID: "i-1", Targets: []string{"llm"}}), qt.IsNil)
 	c.Assert(l.events, qt.HasLen, 2)
+	long := fleet.Server{ID: strings.Repeat("x", 129), Targets: []string{"llm"}}
+	c.Assert(fault.Is(r.Announce(ctx, long), fault.Invalid), qt.IsTrue)
 	l.postErr = errors.New("full")
 	c.Assert(fault.Is(r.Announce(ctx, fleet.Server{ID: "i-1", Targets: []string{"llm"}}), fault.Unavailable), qt.IsTrue)
 }
