--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -110,11 +110,16 @@
 // same peer.
 func (m *Mesh) serve(ctx context.Context, s *session) error {
 	id := s.peer.VM
-	q, ok := m.register(id, s)
+	q, replaced, ok := m.register(id, s)
 	if !ok {
 		s.mux.Close()
 		return errors.New("closed in favor of a session that the peer opened simultaneously")
 	}
+	if replaced != nil {
+		// Closing waits for the connection, which must delay neither s nor, through m.mu,
+		// the control thread.
+		go replaced.mux.Close()
+	}
 	defer m.unregister(id, s)
 	m.log.Info("session opened", "peer", id)
 	err := s.run(ctx, q, m.encode, func(frame []byte) { m.handleFrame(ctx, id, frame) })
@@ -125,24 +130,21 @@
 // register makes s the session to a peer. If both sides opened one simultaneously, it
 // keeps the one opened by the VM with the smaller id. It returns the send queue, which
 // starts empty if it served an earlier session or is older than maxQueueAge, because
-// its messages are stale.
-func (m *Mesh) register(id string, s *session) (*queue, bool) {
+// its messages are stale, and the session that s replaces, for the caller to close.
+func (m *Mesh) register(id string, s *session) (q *queue, replaced *session, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.sessions[id]
 	if old != nil && old.isSimultaneousOpen(s) && old.initiator < s.initiator {
-		return nil, false
-	}
-	if old != nil {
-		old.mux.Close()
+		return nil, nil, false
 	}
 	m.sessions[id] = s
-	q := m.queues[id]
+	q = m.queues[id]
 	if old != nil || q == nil || time.Since(q.createdAt) > maxQueueAge {
 		q = newQueue()
 		m.queues[id] = q
 	}
-	return q, true
+	return q, old, true
 }
 
 func (m *Mesh) unregister(id string, s *session) {
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -49,19 +49,22 @@
 type stream struct {
 	net.Conn
 	r *bufio.Reader
+	// below is the connection that carries the session.
+	below *streamConn
 }
 
-func newStream(c net.Conn) *stream {
-	return &stream{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes)}
+func newStream(c net.Conn, below *streamConn) *stream {
+	return &stream{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes), below: below}
 }
 
 // open performs the handshake on an outgoing connection.
 func open(conn net.Conn, local codec.Hello) (*session, error) {
-	mux, err := yamux.Client(conn, muxConfig())
+	below := &streamConn{Conn: conn}
+	mux, err := yamux.Client(below, muxConfig())
 	if err != nil {
 		return nil, err
 	}
-	s, err := handshake(mux, local, mux.Open)
+	s, err := handshake(mux, below, local, mux.Open)
 	if err == nil {
 		s.initiator = local.VM
 	}
@@ -70,23 +73,24 @@
 
 // accept performs the handshake on an incoming connection.
 func accept(conn net.Conn, local codec.Hello) (*session, error) {
-	mux, err := yamux.Server(conn, muxConfig())
+	below := &streamConn{Conn: conn}
+	mux, err := yamux.Server(below, muxConfig())
 	if err != nil {
 		return nil, err
 	}
-	s, err := handshake(mux, local, mux.Accept)
+	s, err := handshake(mux, below, local, mux.Accept)
 	if err == nil {
 		s.initiator = s.peer.VM
 	}
 	return s, err
 }
 
-func handshake(mux *yamux.Session, local codec.Hello, nextStream func() (net.Conn, error)) (*session, error) {
+func handshake(mux *yamux.Session, below *streamConn, local codec.Hello, nextStream func() (net.Conn, error)) (*session, error) {
 	timer := time.AfterFunc(helloTimeout, func() { mux.Close() })
 	defer timer.Stop()
 	s := &session{mux: mux, openedAt: time.Now()}
 	for i := range s.streams {
-		st, hello, err := exchangeHello(local, nextStream)
+		st, hello, err := exchangeHello(below, local, nextStream)
 		if err != nil {
 			mux.Close()
 			return nil, err
@@ -106,11 +110,14 @@
 
 // exchangeHello opens or accepts a stream, sends the local hello and reads that of the
 // peer. It fails if the peer belongs to another cluster.
-func exchangeHello(local codec.Hello, nextStream func() (net.Conn, error)) (*stream, codec.Hello, error) {
+func exchangeHello(below *streamConn, local codec.Hello, nextStream func() (net.Conn, error)) (*stream, codec.Hello, error) {
 	conn, err := nextStream()
 	if err != nil {
 		return nil, codec.Hello{}, err
 	}
+	if err := below.attach(conn); err != nil {
+		return nil, codec.Hello{}, err
+	}
 	frame, err := codec.EncodeHello(local)
 	if err != nil {
 		return nil, codec.Hello{}, err
@@ -118,7 +125,7 @@
 	if err := writeFrame(conn, frame); err != nil {
 		return nil, codec.Hello{}, err
 	}
-	st := newStream(conn)
+	st := newStream(conn, below)
 	response, err := readFrame(st.r)
 	if err != nil {
 		return nil, codec.Hello{}, err
@@ -185,7 +192,7 @@
 }
 
 func (st *stream) write(frame []byte) error {
-	if err := st.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := st.below.setWriteDeadline(st.Conn, time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	return writeFrame(st, frame)
