--- a/root/traffic/admission/window.go
+++ b/root/traffic/admission/window.go
@@ -30,9 +30,9 @@
 // Take counts a retry and returns true if the retries in all slots, with this one,
 // are at most extra plus ratio times the requests in the slots before the newest one,
 // which together are as long as the window. Otherwise it counts none.
-func (b *WindowBudget) Take(now time.Time, extra int) bool {
+func (b *WindowBudget) Take(now time.Time, extra float64) bool {
 	i := b.advance(now)
-	if float64(sum(b.retries[:])+1) > b.ratio*float64(sum(b.requests[:])-b.requests[i])+float64(extra) {
+	if float64(sum(b.retries[:])+1) > b.ratio*float64(sum(b.requests[:])-b.requests[i])+extra {
 		return false
 	}
 	b.retries[i]++
--- a/root/traffic/relay/retries.go
+++ b/root/traffic/relay/retries.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,11 +13,12 @@
 	// Ratio is the number of retries allowed per request to the service.
 	Ratio float64
 	// Extra is the number of additional retries that the whole fleet is allowed per
-	// service.
-	Extra int
+	// service. It may be a fraction.
+	Extra float64
 	// Window is the length of the sliding window to which both limits apply.
 	Window time.Duration
-	// Entries returns the number of entries, which share Extra evenly.
+	// Entries returns the number of entries, which share Extra evenly; each rounds its
+	// share down.
 	Entries func() int
 
 	mu       sync.Mutex
@@ -35,7 +37,7 @@
 func (r *RetryBudget) Take(service string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	extra := r.Extra / max(1, r.Entries())
+	extra := math.Floor(r.Extra / float64(max(1, r.Entries())))
 	return r.budget(service).Take(now, extra)
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -53,6 +53,9 @@
 		return nil, src.syntaxError(err)
 	}
 	s := Defaults()
+	if root.Find("/platform") != nil {
+		s.Platform = platformDefaults()
+	}
 	if err := json.Unmarshal(plain, &s); err != nil {
 		return nil, src.typeError(err)
 	}
@@ -71,9 +74,6 @@
 			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.Peers.Listen, Replica: s.Replica != nil,
 		}}
 	}
-	if s.Platform != nil && s.Platform.AddressLifetimeMillis == 0 {
-		s.Platform.AddressLifetimeMillis = defaultAddressLifetimeMillis
-	}
 	if s.Entry != nil && s.Entry.AddressLifetimeSeconds == 0 {
 		s.Entry.AddressLifetimeSeconds = defaultAddressLifetimeSeconds
 	}
@@ -127,12 +127,31 @@
 func (s *source) typeError(err error) error {
 	var typed *json.UnmarshalTypeError
 	if errors.As(err, &typed) {
-		text := fmt.Sprintf("wants %s, not %s", typed.Type, typed.Value)
+		text := fmt.Sprintf("wants %s, not %s", describeType(typed.Type), typed.Value)
 		return s.errorAt(int(typed.Offset), "/"+strings.ReplaceAll(typed.Field, ".", "/"), text)
 	}
 	return fault.New(fault.Settings, part, "%s: %v", s.file, err)
 }
 
+// describeType returns what a field of a type accepts.
+func describeType(typ reflect.Type) string {
+	switch typ.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number (fractions are allowed)"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct:
+		return "a section"
+	}
+	return typ.String()
+}
+
 // checkFields rejects unknown and duplicate fields at any depth.
 func (s *source) checkFields(v *hujson.Value, typ reflect.Type, pointer string) error {
 	for typ.Kind() == reflect.Pointer {
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -1,6 +1,9 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 func (s *Settings) checkDiscovery(src *source) error {
 	d := s.Discovery
@@ -54,10 +57,10 @@
 		value, min, max float64
 	}{
 		{"address_lifetime_ms", float64(p.AddressLifetimeMillis), 1, hourMillis},
-		{"heartbeat_ms", float64(p.HeartbeatMillis), 1, hourMillis},
+		{"heartbeat_ms", p.HeartbeatMillis, 1, hourMillis},
 		{"grace_period_seconds", p.GracePeriodSeconds, 1, daySeconds},
-		{"retry_ratio", p.RetryRatio, 0, 10},
-		{"retry_extra", float64(p.RetryExtra), 0, 1_000_000},
+		{"retry_ratio", p.RetryRatio, 0, math.MaxFloat64},
+		{"retry_extra", p.RetryExtra, 0, math.MaxFloat64},
 		{"retry_window_seconds", p.RetryWindowSeconds, 1, daySeconds},
 	}
 	for _, r := range ranges {
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -29,6 +30,54 @@
 	c.Assert(s.Platform.AddressLifetimeMillis, qt.Equals, 1000)
 }
 
+// TestPlatformNumbers reads the numbers that the platform fills in as fractions, as huge
+// values and not at all.
+func TestPlatformNumbers(t *testing.T) {
+	c := qt.New(t)
+	const valid = `"heartbeat_ms": 1200,
+    "grace_period_seconds": 8, "retry_ratio": 0.2, "retry_extra": 54, "retry_window_seconds": 10`
+	parse := func(numbers string) (*settings.Platform, error) {
+		s, err := settings.Parse("vm.jsonc", []byte(strings.Replace(validPlatformFile, valid, numbers, 1)))
+		if err != nil {
+			return nil, err
+		}
+		return s.Platform, nil
+	}
+
+	p, err := parse(`"heartbeat_ms": 1200.5, "grace_period_seconds": 7.5, "retry_ratio": 0.25,
+		"retry_extra": 32.73684210526316, "retry_window_seconds": 9.5`)
+	c.Assert(err, qt.IsNil)
+	c.Check(settings.Millis(p.HeartbeatMillis), qt.Equals, 1200*time.Millisecond+500*time.Microsecond)
+	c.Check(p.GracePeriodSeconds, qt.Equals, 7.5)
+	c.Check(p.RetryExtra, qt.Equals, 32.73684210526316)
+	c.Check(p.RetryWindowSeconds, qt.Equals, 9.5)
+
+	p, err = parse(`"retry_ratio": 1e30, "retry_extra": 1e300`)
+	c.Assert(err, qt.IsNil)
+	c.Check(p.RetryExtra, qt.Equals, 1e300)
+
+	p, err = parse(`"retry_extra": 0, "retry_ratio": 0`)
+	c.Assert(err, qt.IsNil)
+	c.Check(p.RetryRatio, qt.Equals, 0.0)
+
+	p, err = parse(``)
+	c.Assert(err, qt.IsNil)
+	c.Check(p.RetryExtra, qt.Equals, 0.0)
+	c.Check(p.RetryRatio, qt.Equals, 0.1)
+	c.Check(p.RetryWindowSeconds, qt.Equals, 10.0)
+
+	for numbers, want := range map[string]string{
+		`"heartbeat_ms": 1e300`:       `vm.jsonc:6: platform.heartbeat_ms: must be 1 to .*`,
+		`"retry_extra": -1`:           `vm.jsonc:6: platform.retry_extra: must be 0 to .*`,
+		`"retry_extra": 1e999`:        `vm.jsonc:6: platform.retry_extra: wants a number \(fractions are allowed\), not number 1e999`,
+		`"retry_extra": "54"`:         `vm.jsonc:6: platform.retry_extra: wants a number \(fractions are allowed\), not string`,
+		`"address_lifetime_ms": 10.5`: `vm.jsonc:6: platform.address_lifetime_ms: wants a whole number, not number 10.5`,
+	} {
+		_, err := parse(numbers)
+		c.Check(err, qt.ErrorMatches, `.*`+want)
+	}
+}
+
 func TestPlatformErrors(t *testing.T) {
 	c := qt.New(t)
 	for want, change := range map[string][2]string{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,13 +76,14 @@
 	// AddressLifetimeMillis is how long callers may cache a response of the directory.
 	AddressLifetimeMillis int `json:"address_lifetime_ms"`
 	// HeartbeatMillis is the interval between heartbeats of a backend server.
-	HeartbeatMillis int `json:"heartbeat_ms"`
+	HeartbeatMillis float64 `json:"heartbeat_ms"`
 	// GracePeriodSeconds is the time from SIGTERM to SIGKILL.
 	GracePeriodSeconds float64 `json:"grace_period_seconds"`
 	// In each window the fleet retries the requests of a service at most RetryRatio
-	// times the number of requests, plus RetryExtra times.
+	// times the number of requests, plus RetryExtra times. RetryExtra may be a
+	// fraction; an entry's equal share of it is rounded down.
 	RetryRatio         float64 `json:"retry_ratio"`
-	RetryExtra         int     `json:"retry_extra"`
+	RetryExtra         float64 `json:"retry_extra"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds"`
 }
 
@@ -178,6 +179,18 @@
 	defaultCompactEveryEntries   = 20_000
 )
 
+// platformDefaults returns the values of the platform section that a file does not
+// set. Without a stated retry budget a tenth of the requests may be retried.
+func platformDefaults() *Platform {
+	return &Platform{
+		HeartbeatMillis:       1000,
+		GracePeriodSeconds:    8,
+		RetryRatio:            0.1,
+		RetryWindowSeconds:    10,
+		AddressLifetimeMillis: defaultAddressLifetimeMillis,
+	}
+}
+
 // Self returns this VM's entry in Members.
 func (s *Settings) Self() Member {
 	for _, m := range s.Members {
@@ -222,4 +235,6 @@
 func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // Millis converts a number of milliseconds to a duration.
-func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func Millis[N int | float64](n N) time.Duration {
+	return time.Duration(float64(n) * float64(time.Millisecond))
+}
