--- a/root/traffic/engine/verbatim.go
+++ b/root/traffic/engine/verbatim.go
@@ -13,8 +13,8 @@
 type VerbatimEvent struct {
 	// Bytes include the blank line that ends the event.
 	Bytes []byte
-	// ID is the value of the last id field; 0 if there is none or it is not a number,
-	// and the largest uint64 if the number is out of range.
+	// ID is the value of the last id field; 0 if there is none, or it is not a number or
+	// out of range.
 	ID uint64
 }
 
@@ -28,34 +28,43 @@
 
 // Next returns the next complete event, and io.EOF when the stream ends between
 // two events. A stream that ends within an event or fails otherwise is an error of
-// kind fault.StreamCut.
-//
-// Of a line longer than readBufferSize only the rest after the last full buffer is
-// parsed, as if it were a line of its own: an empty rest ends the event early. If an
-// event exceeds maxEventBytes within such a line, the error wraps
-// bufio.ErrBufferFull and does not state the limit.
+// kind fault.StreamCut, which does not wrap io.EOF. Lines may have any length, as long
+// as the event has at most maxEventBytes.
 func (v *VerbatimReader) Next() (VerbatimEvent, error) {
 	var ev VerbatimEvent
+	lineStart := 0
 	for {
-		line, err := v.r.ReadSlice('\n')
-		ev.Bytes = append(ev.Bytes, line...)
+		piece, err := v.r.ReadSlice('\n')
+		ev.Bytes = append(ev.Bytes, piece...)
 		switch {
+		case len(ev.Bytes) > maxEventBytes:
+			return VerbatimEvent{}, fault.New(fault.StreamCut, part, "event exceeds %d bytes", maxEventBytes)
+		case err == bufio.ErrBufferFull:
+			continue
 		case err == io.EOF && len(ev.Bytes) == 0:
 			return VerbatimEvent{}, io.EOF
-		case err == bufio.ErrBufferFull && len(ev.Bytes) <= maxEventBytes:
-			continue
+		case err == io.EOF:
+			return VerbatimEvent{}, fault.Wrap(io.ErrUnexpectedEOF, fault.StreamCut, part, "read event stream")
 		case err != nil:
 			return VerbatimEvent{}, fault.Wrap(err, fault.StreamCut, part, "read event stream")
-		case len(ev.Bytes) > maxEventBytes:
-			return VerbatimEvent{}, fault.New(fault.StreamCut, part, "event exceeds %d bytes", maxEventBytes)
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(ev.Bytes[lineStart:], "\r\n")
+		lineStart = len(ev.Bytes)
+		if len(line) == 0 {
 			return ev, nil
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			// ParseUint returns the documented value also with an error.
-			ev.ID, _ = strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			ev.ID = parseEventNumber(value)
 		}
 	}
 }
+
+// parseEventNumber returns the value of an id field; 0 if it is not a number or out of
+// range.
+func parseEventNumber(value []byte) uint64 {
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/root/traffic/placement/placement_test.go
+++ b/root/traffic/placement/placement_test.go
@@ -77,6 +77,26 @@
 	c.Assert(len(used) > 1, qt.IsTrue)
 }
 
+// TestRestartedServerHasNoLoad restarts a server that runs a request. The new incarnation
+// runs nothing, and the end of the old request must not change its load.
+func TestRestartedServerHasNoLoad(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(1, engine("engine-1", fleet.Decode)))
+	req := placement.Request{Service: "llm", PromptTokens: 1000}
+	run := mustPlace(c, s, start, req)
+	c.Assert(s.OwnLoads(), qt.HasLen, 1)
+
+	restarted := engine("engine-1", fleet.Decode)
+	restarted.Incarnation = 2
+	s.SetView(viewOf(1, restarted))
+	c.Assert(s.OwnLoads(), qt.HasLen, 0)
+	next := mustPlace(c, s, start, req)
+	run.End(start, placement.Result{Outcome: placement.Lost})
+	c.Assert(s.OwnLoads(), qt.DeepEquals, []fleet.OwnLoad{{Server: "engine-1", Running: 1, Tokens: 1000}})
+	next.End(start, placement.Result{Outcome: placement.Answered})
+	c.Assert(s.OwnLoads(), qt.HasLen, 0)
+}
+
 // TestANewEngineMovesFewPrefillHomes checks that a new engine becomes the prefill
 // home of its share of the prompts and that all others keep theirs.
 func TestANewEngineMovesFewPrefillHomes(t *testing.T) {
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -165,12 +165,12 @@
 func (s *State) update(next fleet.Server, cacheTokens int) {
 	known := s.byID[next.ID]
 	if known == nil || known.Incarnation != next.Incarnation {
-		fresh := &server{cache: newPrefixCache(cacheTokens)}
 		if known != nil {
 			known.flushQueue()
-			fresh.ownRunning, fresh.ownTokens = known.ownRunning, known.ownTokens
 		}
-		known = fresh
+		// A restarted server has none of the requests that were sent to it before. Their
+		// runs keep the old entry and release their load there.
+		known = &server{cache: newPrefixCache(cacheTokens)}
 		s.byID[next.ID] = known
 	}
 	if known.cache.limit != cacheTokens {
--- a/root/traffic/relay/deliver.go
+++ b/root/traffic/relay/deliver.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"io"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -49,7 +48,8 @@
 func (r *requestRun) streamEvents(lease *placement.Lease, resp Response, watch *watchdog) (placement.Outcome, error) {
 	for {
 		ev, err := resp.Next()
-		if errors.Is(err, io.EOF) {
+		// An error that wraps io.EOF is a stream that was cut.
+		if err == io.EOF {
 			return placement.Answered, r.finishStream(resp)
 		}
 		if err != nil {
--- a/root/traffic/relay/errors.go
+++ b/root/traffic/relay/errors.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -25,9 +26,12 @@
 	return fault.New(fault.NotFound, part, "no route matches %s%s", req.Host, req.Path)
 }
 
+// errBudgetExhausted is the cause of the errors of errRetryBudget.
+var errBudgetExhausted = errors.New("retry budget exhausted")
+
 // errRetryBudget is the error for a retry that the retry budget does not permit.
 func (r *requestRun) errRetryBudget() *fault.Error {
-	return fault.New(fault.Overloaded, part, "retry budget of service %q exhausted", r.service.Name).WithRan(r.ran)
+	return fault.Wrap(errBudgetExhausted, fault.Overloaded, part, "service %q", r.service.Name).WithRan(r.ran)
 }
 
 // sinkError wraps an error of the sink, which means that the caller has
--- a/root/traffic/relay/relay_test.go
+++ b/root/traffic/relay/relay_test.go
@@ -168,6 +168,44 @@
 	})
 }
 
+// TestStreamThatEndsWithinAnEventIsNotComplete reads a stream that a server ended within
+// an event, where the caller must not take the events before it for a whole response.
+func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.script = []scriptedResponse{{status: 200, raw: "id: 1\ndata: a\n\nid: 2\ndata: b"}}
+		out, err := h.call("/stream/x")
+		c.Assert(err != nil, qt.IsTrue)
+		c.Assert(fault.Is(err, fault.StreamCut), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(out.ids, qt.DeepEquals, []uint64{1})
+	})
+}
+
+// TestRetryBudgetRefusalSaysNothingAboutTheServer exhausts the retry budget. An attempt
+// that it refuses contacts no server, so none may be avoided for it.
+func TestRetryBudgetRefusalSaysNothingAboutTheServer(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		for range 4 {
+			h.script = []scriptedResponse{{status: 500}, {status: 200}}
+			_, _ = h.call("/safe/x")
+		}
+		c.Assert(h.outcomes[len(h.outcomes)-1], qt.Equals, "abandoned")
+	})
+}
+
+// TestLongPromptIsResumedAfterAPause cuts the stream of a long prompt later than a caller
+// is assumed to wait for the first event. The caller has events and is still connected,
+// so another server continues the stream.
+func TestLongPromptIsResumedAfterAPause(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		slowPrefill := scriptedResponse{status: 200, hang: 100 * time.Millisecond}
+		h.prefillScript = []scriptedResponse{slowPrefill, slowPrefill}
+		h.script = []scriptedResponse{{status: 200, events: 2, pause: 3 * time.Second, cut: true}, {status: 200, events: 4}}
+		out, err := h.serve(longPrompt())
+		c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(out.ids, qt.DeepEquals, []uint64{1, 2, 3, 4})
+	})
+}
+
 func longPrompt() *relay.Request {
 	return &relay.Request{
 		ID: "r", Host: "h", Path: "/resumable/x", Arrived: time.Now(),
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -75,10 +75,9 @@
 
 // attempt sends the request to one server. If done is set, the error is final.
 //
-// An attempt without a response ends as placement.Lost, or as placement.Abandoned if ctx
-// has ended. It also ends as placement.Lost if the retry budget does not permit sending
-// the request: placement then avoids the server for a while, although nothing was sent
-// to it.
+// An attempt without a response ends as placement.Lost. It ends as placement.Abandoned,
+// which says nothing about the server, if ctx has ended or the retry budget does not
+// permit sending the request.
 func (r *requestRun) attempt(ctx context.Context) (done bool, err error) {
 	if err := r.prefill(ctx); err != nil {
 		return true, r.finalError(ctx, fault.From(err))
@@ -96,7 +95,7 @@
 		defer resp.Close()
 		outcome, err = r.deliver(lease, resp, watch)
 	}
-	if err != nil && ctx.Err() != nil {
+	if err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted)) {
 		outcome = placement.Abandoned
 	}
 	return fault.Is(err, fault.Cancelled), err
@@ -159,11 +158,12 @@
 )
 
 // firstOutputTimeout returns how much longer the caller waits for the first output. For
-// a stream the wait counts from the arrival of the request, even if the caller already
-// has events; the result is negative once it is over.
+// a stream the wait counts from the arrival of the request; the result is negative once
+// it is over. A caller that already has events and is still connected waits for the
+// rest until the deadline.
 func (r *requestRun) firstOutputTimeout() time.Duration {
 	left := time.Until(r.deadline)
-	if r.route.Kind != routes.Stream {
+	if r.route.Kind != routes.Stream || r.headSent {
 		return left
 	}
 	timeout := max(minStreamTimeout, latencyObjectiveFactor*r.route.LatencyObjective, gapObjectiveFactor*r.route.GapObjective)
