--- a/root/traffic/admission/core.go
+++ b/root/traffic/admission/core.go
@@ -14,6 +14,8 @@
 	// waitSafetyFactor multiplies the predicted wait before it is compared with the
 	// deadline.
 	waitSafetyFactor = 1.5
+	// nextSharesWait is about the time until the leader divides the limits anew.
+	nextSharesWait = 500 * time.Millisecond
 )
 
 // Core holds the queues of one entry, one for each class. It serves classes in
@@ -132,9 +134,12 @@
 	case len(q.waiting) > q.limits.queue:
 		return Refusal{Item: it, Reason: QueueFull, RetryAfter: max(minRetryAfter, wait)}, false
 	}
-	if q.limits.rate <= 0 {
+	if q.limits.rate == 0 {
 		return Refusal{}, true
 	}
+	if q.limits.rate < 0 {
+		return Refusal{Item: it, Reason: RateExceeded, RetryAfter: nextSharesWait}, false
+	}
 	if retry, ok := q.bucket.take(now, q.limits.rate); !ok {
 		return Refusal{Item: it, Reason: RateExceeded, RetryAfter: max(minRetryAfter, retry)}, false
 	}
--- a/root/traffic/admission/core_test.go
+++ b/root/traffic/admission/core_test.go
@@ -243,12 +243,58 @@
 				t.Fatalf("an entry got no unit of %d", limit)
 			}
 		}
+		checkDemandIsServed(t, limit, entries, shares)
 		if sum > 1+1e-9 || limit >= 1 && sum < 1-1e-9 {
 			t.Fatalf("shares add up to %v", sum)
 		}
 	})
 }
 
+// checkDemandIsServed checks that no entry has several units of the limit while another
+// one with demand has none.
+func checkDemandIsServed(t *rapid.T, limit int, entries []admission.EntryDemand, shares map[string]float64) {
+	for _, e := range entries {
+		if limit == 0 || e.Waiting == 0 || shares[e.Entry] > 0 {
+			continue
+		}
+		for other, share := range shares {
+			if share*float64(limit) > 1.5 {
+				t.Fatalf("entry %s has %v of %d, entry %s with demand has none", other, share, limit, e.Entry)
+			}
+		}
+	}
+}
+
+func TestFewerUnitsThanEntriesWithDemand(t *testing.T) {
+	c := qt.New(t)
+	shares := admission.DivideLimit(3, []admission.EntryDemand{
+		{Entry: "a", Waiting: 100}, {Entry: "b", Waiting: 3}, {Entry: "c", Waiting: 2}, {Entry: "d", Waiting: 1},
+	})
+	for entry, want := range map[string]float64{"a": 1, "b": 1, "c": 1, "d": 0} {
+		c.Check(math.Round(shares[entry]*3), qt.Equals, want, qt.Commentf("%s", entry))
+	}
+}
+
+// TestRateHoldsAfterTheConcurrencyLimitIsRemoved removes the concurrency limit of a class
+// of which this entry has a share of zero. The rate limit holds until the next shares.
+func TestRateHoldsAfterTheConcurrencyLimitIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	core := admission.NewCore()
+	class := table.Class{Name: "a", Weight: 1, Queue: 100, Concurrency: 3, RatePerSecond: 3}
+	core.SetClasses([]table.Class{class}, fixedShare(0))
+	class.Concurrency = 0
+	core.SetClasses([]table.Class{class}, fixedShare(0))
+	for id := range uint64(20) {
+		refusal, ok := core.Enqueue(epoch, admission.Item{ID: id, Class: "a", Cost: 1})
+		c.Assert(ok, qt.IsFalse)
+		c.Check(refusal.Reason, qt.Equals, admission.RateExceeded)
+		c.Check(refusal.RetryAfter > 0, qt.IsTrue)
+	}
+	core.SetClasses([]table.Class{class}, fixedShare(1))
+	_, ok := core.Enqueue(epoch, admission.Item{ID: 21, Class: "a", Cost: 1})
+	c.Check(ok, qt.IsTrue)
+}
+
 func ExampleCore() {
 	core := admission.NewCore()
 	classes := []table.Class{{Name: "question", Weight: 1, Concurrency: 1, Queue: 10}}
--- a/root/traffic/admission/limits.go
+++ b/root/traffic/admission/limits.go
@@ -11,10 +11,7 @@
 const epsilon = 1e-9
 
 // limits are one entry's shares of a class's fleet-wide limits. A concurrency, rate
-// or tokens of zero means no limit; a concurrency or tokens of -1 means that nothing
-// may run. A leased share of zero makes the rate zero too, but DivideLimit returns
-// such a share only for a class with a concurrency limit, and concurrency is then -1.
-// After a table removes that limit, the rate has no limit until the next shares.
+// or tokens of zero means no limit, and one of -1 means that nothing may run or arrive.
 type limits struct {
 	concurrency int
 	rate        float64
@@ -28,7 +25,7 @@
 // sum over the entries never exceeds the limit; that of the queue is rounded up.
 func scaleLimits(c table.Class, share float64, leased bool) limits {
 	l := limits{
-		rate:  c.RatePerSecond * share,
+		rate:  scaleRate(c.RatePerSecond, share),
 		queue: int(math.Ceil(float64(c.Queue)*share - epsilon)),
 	}
 	if c.Queue > 0 {
@@ -41,6 +38,15 @@
 	return l
 }
 
+// scaleRate returns rate times share, and -1 for a share of zero of a limit. A rate of
+// zero stays zero.
+func scaleRate(rate, share float64) float64 {
+	if rate > 0 && share <= 0 {
+		return -1
+	}
+	return rate * share
+}
+
 // scaleLimit returns limit times share, rounded down. If that is less than one, it
 // returns -1 for a leased share, which means that nothing may run, and otherwise 1.
 // A limit of zero stays zero.
--- a/root/traffic/admission/shares.go
+++ b/root/traffic/admission/shares.go
@@ -21,14 +21,15 @@
 // DivideLimit divides a class's fleet-wide limit among the entries and returns their
 // shares, which add up to 1: evenShare is divided evenly and the rest by demand, so
 // that entries without demand leave their shares to others. With a limit above zero,
-// each share is a whole number of units of it: at least one, or none for some entries
-// if there are fewer units than entries.
+// each share is a whole number of units of it, and at least one. If there are fewer
+// units than entries, the entries with the highest demand get at least one each, and
+// none gets a second one while another entry with demand has none.
 func DivideLimit(limit int, entries []EntryDemand) map[string]float64 {
 	sorted := slices.Clone(entries)
 	slices.SortFunc(sorted, byDemandThenName)
 	fractions := demandShares(sorted)
 	if limit > 0 {
-		fractions = roundToUnits(limit, fractions)
+		fractions = roundToUnits(limit, fractions, minUnits(limit, sorted))
 	}
 	shares := make(map[string]float64, len(sorted))
 	for i, e := range sorted {
@@ -73,20 +74,29 @@
 	return shares
 }
 
+// minUnits returns how many units of the limit each entry gets at least, at most one.
+// The entries are ordered by demand. With one unit, an idle entry can run its next
+// request at once.
+func minUnits(limit int, entries []EntryDemand) []int {
+	out := make([]int, len(entries))
+	idleFleet := len(entries) > 0 && entries[0].demand() == 0
+	for i, e := range entries[:min(limit, len(entries))] {
+		if limit >= len(entries) || idleFleet || e.demand() > 0 {
+			out[i] = 1
+		}
+	}
+	return out
+}
+
 // roundToUnits rounds the shares to whole units of the limit by the largest
-// remainder method.
-func roundToUnits(limit int, shares []float64) []float64 {
+// remainder method. The minimum units of each entry add up to at most the limit.
+func roundToUnits(limit int, shares []float64, minUnits []int) []float64 {
 	units := make([]int, len(shares))
 	byRemainder := make([]int, len(shares))
 	remaining := limit
-	// With at least one unit, an idle entry can run its next request at once.
-	minUnits := 0
-	if limit >= len(shares) {
-		minUnits = 1
-		shares = raiseToFloor(shares, 1/float64(limit))
-	}
+	shares = raiseToUnits(limit, shares, minUnits)
 	for i, p := range shares {
-		units[i] = max(minUnits, int(math.Floor(p*float64(limit)+epsilon)))
+		units[i] = max(minUnits[i], int(math.Floor(p*float64(limit)+epsilon)))
 		remaining -= units[i]
 		byRemainder[i] = i
 	}
@@ -110,19 +120,20 @@
 	return out
 }
 
-// raiseToFloor raises shares below the floor to it and reduces the others in
-// proportion to their excess over it.
-func raiseToFloor(shares []float64, floor float64) []float64 {
+// raiseToUnits raises shares below the minimum units of the limit to it and reduces the
+// others in proportion to their excess over it.
+func raiseToUnits(limit int, shares []float64, minUnits []int) []float64 {
+	floor := func(i int) float64 { return float64(minUnits[i]) / float64(limit) }
 	above, missing := 0.0, 0.0
-	for _, p := range shares {
-		above += max(0, p-floor)
-		missing += max(0, floor-p)
+	for i, p := range shares {
+		above += max(0, p-floor(i))
+		missing += max(0, floor(i)-p)
 	}
 	out := make([]float64, len(shares))
 	for i, p := range shares {
-		out[i] = floor
-		if p > floor && above > 0 {
-			out[i] = p - missing*(p-floor)/above
+		out[i] = floor(i)
+		if p > floor(i) && above > 0 {
+			out[i] = p - missing*(p-floor(i))/above
 		}
 	}
 	return out
