--- a/root/control/consensus/leader.go
+++ b/root/control/consensus/leader.go
@@ -12,8 +12,8 @@
 	nextHeartbeat time.Duration
 	// firstIndex is the index of the first entry in the leader's term.
 	firstIndex uint64
-	// uncommittedBytes grows by the size of each proposed command. It shrinks by the size
-	// of each committed entry, also of earlier terms, but not below 0.
+	// uncommittedBytes is the size of the commands after the commit index, also of those
+	// of earlier terms.
 	uncommittedBytes int
 	peers            map[ReplicaID]*peer
 	rounds           rounds
@@ -33,12 +33,21 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leaderID, c.votes = leader, c.cfg.ID, nil
 	c.cold.awaitingFirstLeader = false
-	c.leaderState = &leaderState{electedAt: c.now, peers: map[ReplicaID]*peer{}}
+	c.leaderState = &leaderState{electedAt: c.now, uncommittedBytes: c.bytesAfterCommit(), peers: map[ReplicaID]*peer{}}
 	c.syncPeers()
 	c.leaderState.firstIndex = c.propose(Entry{Kind: EntryNoop})
 	c.broadcastHeartbeat()
 }
 
+// bytesAfterCommit returns the size of the entries after the commit index.
+func (c *Core) bytesAfterCommit() int {
+	n := 0
+	for _, e := range c.log.slice(c.commit+1, c.log.lastIndex()) {
+		n += len(e.Data)
+	}
+	return n
+}
+
 // committedInTerm reports whether the leader has committed an entry in its term.
 func (c *Core) committedInTerm() bool { return c.commit >= c.leaderState.firstIndex }
 
--- a/root/control/consensus/replicate.go
+++ b/root/control/consensus/replicate.go
@@ -142,7 +142,6 @@
 		}
 		c.commit = reached
 	}
-	c.leaderState.uncommittedBytes = max(c.leaderState.uncommittedBytes, 0)
 	c.continueTransfer()
 	c.stepDownIfRemoved()
 }
--- a/root/control/consensus/writes.go
+++ b/root/control/consensus/writes.go
@@ -42,11 +42,10 @@
 	}
 	first := c.log.submitted + 1
 	if batch.Snapshot != nil && batch.Truncate {
-		// The caller drops its whole log and restarts it after the snapshot. Entries
-		// that the snapshot covers are not written, nor are later ones up to
-		// TruncateAfter, which an earlier batch contains.
-		batch.TruncateAfter = max(batch.TruncateAfter, batch.Snapshot.Index)
-		first = max(first, batch.Snapshot.Index+1)
+		// The caller drops its whole log and restarts it after the snapshot. All entries
+		// that follow are written, also those that an earlier batch contains.
+		batch.TruncateAfter = batch.Snapshot.Index
+		first = batch.Snapshot.Index + 1
 	}
 	if first <= c.log.lastIndex() {
 		batch.Entries = c.log.slice(first, c.log.lastIndex())
