--- a/root/control/fleet/addresses.go
+++ b/root/control/fleet/addresses.go
@@ -8,14 +8,13 @@
 //
 // Servers can be compared in this way only if their incarnations are start times.
 // Announcements with a sequence number have such incarnations and unnumbered ones
-// may not, so an unnumbered s replaces no server. Only s is checked for this: a
-// numbered s also replaces, or is ignored in favour of, unnumbered servers.
+// may not, so numbered and unnumbered servers don't replace each other.
 func (t *Tracker) replaceAtAddress(s Server) bool {
 	if s.Address == "" || s.Sequence == 0 {
 		return true
 	}
 	for _, id := range slices.Clone(t.byAddress[s.Address]) {
-		if id == s.ID {
+		if id == s.ID || t.servers[id].server.Sequence == 0 {
 			continue
 		}
 		if t.servers[id].server.Incarnation > s.Incarnation {
--- a/root/control/fleet/sequence_test.go
+++ b/root/control/fleet/sequence_test.go
@@ -56,6 +56,35 @@
 	c.Assert(servers[0].ID, qt.Equals, "new")
 }
 
+// TestNumberedAndUnnumberedServersAreNotCompared announces servers at one address whose
+// incarnations mean different things: a start time and a count of starts.
+func TestNumberedAndUnnumberedServersAreNotCompared(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	for _, incarnation := range []uint64{1, 9} {
+		tr := fleet.NewTracker(timing)
+		c.Assert(tr.ObserveServer(announced("unnumbered", incarnation, 0, fleet.Active), now), qt.IsTrue)
+		c.Assert(tr.ObserveServer(announced("numbered", 5, 1, fleet.Active), now), qt.IsTrue)
+		c.Assert(tr.Servers(), qt.HasLen, 2)
+	}
+}
+
+// TestChangedKindOrCacheIsReported announces a server of the same incarnation again with
+// another kind or KV cache. The change must reach the views and the log.
+func TestChangedKindOrCacheIsReported(t *testing.T) {
+	c := qt.New(t)
+	tr := fleet.NewTracker(timing)
+	now := time.Unix(1000, 0)
+	s := announced("a", 5, 1, fleet.Active)
+	tr.ObserveServer(s, now)
+	s.Sequence, s.CacheTokens = 2, 4096
+	c.Check(tr.ObserveServer(s, now), qt.IsTrue)
+	s.Sequence, s.Kind = 3, fleet.PlainServer
+	c.Check(tr.ObserveServer(s, now), qt.IsTrue)
+	s.Sequence = 4
+	c.Check(tr.ObserveServer(s, now), qt.IsFalse)
+}
+
 func TestVMSuspectTimeout(t *testing.T) {
 	c := qt.New(t)
 	tr := fleet.NewTracker(fleet.Timing{SuspectAfter: 5 * time.Second, VMSuspectAfter: time.Second, RemoveAfter: time.Minute})
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -130,11 +130,11 @@
 }
 
 // SameRegistration reports whether two announcements agree on id, incarnation,
-// address, failure domain, state, role, slots and targets. It doesn't compare the
-// kind, the size of the KV cache, the load and the sequence number.
+// address, failure domain, state, kind, role, slots, targets and the size of the KV
+// cache. It doesn't compare the load and the sequence number.
 func (a Server) SameRegistration(b Server) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Address == b.Address && a.State == b.State &&
-		a.Role == b.Role && a.Slots == b.Slots && slices.Equal(a.Targets, b.Targets) &&
+		a.Kind == b.Kind && a.Role == b.Role && a.CacheTokens == b.CacheTokens && a.Slots == b.Slots && slices.Equal(a.Targets, b.Targets) &&
 		a.FailureDomain == b.FailureDomain
 }
 
--- a/root/control/ledger/ledger.go
+++ b/root/control/ledger/ledger.go
@@ -11,12 +11,11 @@
 type Ledger struct {
 	limits  Limits
 	records records
-	// settled is the expiry queue of settled records, oldest first. The responses
-	// of its first responsesDropped items have been dropped.
-	settled          []expiryItem
-	responsesDropped int
-	lastSettledSeq   uint64
-	responseBytes    int
+	// settled has one item for each settled record, and responses one for each record
+	// with a response, oldest first.
+	settled, responses []expiryItem
+	lastSettledSeq     uint64
+	responseBytes      int
 	// closed is sorted by time; closedOutcomes indexes the same attempts.
 	closed         []ClosedAttempt
 	closedOutcomes map[attemptKey]OutcomeKind
@@ -113,9 +112,13 @@
 	if b.Incarnation <= l.dead[b.Entry] {
 		return Outcome{}, fault.New(fault.Fenced, part, "the process of %q is known to be dead", b.Entry)
 	}
-	if l.records.get(key) == nil && l.records.count >= l.limits.MaxKeys {
+	cancelled := l.records.get(key)
+	if cancelled == nil && l.records.count >= l.limits.MaxKeys {
 		return Outcome{}, fault.New(fault.Overloaded, part, "limit of %d idempotency keys reached", l.limits.MaxKeys)
 	}
+	if cancelled != nil {
+		l.removeSettled(cancelled)
+	}
 	l.records.put(&Record{
 		Key:           key,
 		RequestDigest: b.RequestDigest,
--- a/root/control/ledger/ledger_test.go
+++ b/root/control/ledger/ledger_test.go
@@ -144,6 +144,30 @@
 	c.Assert(string(out.Response.Body), qt.Equals, "own")
 }
 
+// TestRepeatedFinishOfAGeneratedKey sends a Finish again whose answer was lost. The
+// record is gone, but the closed attempt still says how it ended.
+func TestRepeatedFinishOfAGeneratedKey(t *testing.T) {
+	c := qt.New(t)
+	for _, unknown := range []bool{false, true} {
+		l := newLedger(c)
+		b := begin("generated", "a")
+		b.GeneratedKey = true
+		_, err := l.Begin(b, 0)
+		c.Assert(err, qt.Equals, noError)
+		f := finish("generated", "a", "done")
+		f.Unknown = unknown
+		_, err = l.Finish(f, 0)
+		c.Assert(err, qt.Equals, noError)
+		again, err := l.Finish(f, 1)
+		c.Assert(err, qt.Equals, noError)
+		want := ledger.Unreplayable
+		if unknown {
+			want = ledger.Unknown
+		}
+		c.Assert(again.Kind, qt.Equals, want)
+	}
+}
+
 func ExampleLedger_Begin() {
 	l, _ := ledger.New(ledger.DefaultLimits())
 	key := ledger.Key{Caller: "shop", ID: "order-17"}
--- a/root/control/ledger/record.go
+++ b/root/control/ledger/record.go
@@ -60,8 +60,7 @@
 
 func (c ClosedAttempt) attemptKey() attemptKey { return attemptKey{c.Key, c.Attempt} }
 
-// expiryItem is an item of the expiry queue. It is stale if its record was
-// removed, reopened or settled again since.
+// expiryItem is an item of an expiry queue.
 type expiryItem struct {
 	key KeyDigest
 	seq uint64
--- a/root/control/ledger/settle.go
+++ b/root/control/ledger/settle.go
@@ -8,14 +8,19 @@
 
 // Finish settles the open attempt of a key. A repeated Finish returns the
 // outcome of the first one, or Unreplayable once its response has expired. For a
-// generated key it fails, because the record was removed. An error leaves the
+// generated key, whose response is not kept, it does so for ClosedRetention and fails
+// after that. An error leaves the
 // ledger unchanged. Its kind is fault.Invalid, fault.NotFound for a key without a
 // record, or fault.Conflict for an attempt other than that of the record.
 func (l *Ledger) Finish(f Finish, now int64) (Outcome, *fault.Error) {
 	if err := f.check(); err != nil {
 		return Outcome{}, err
 	}
-	rec := l.records.get(f.Key.Digest())
+	key := f.Key.Digest()
+	rec := l.records.get(key)
+	if closed, ok := l.closedOutcomes[attemptKey{key, f.Attempt}]; rec == nil && ok && closed != InProgress {
+		return Outcome{Kind: closed}, nil
+	}
 	if rec == nil {
 		return Outcome{}, fault.New(fault.NotFound, part, "no record for the idempotency key").WithRan(fault.RanUnknown)
 	}
@@ -95,15 +100,12 @@
 // processes can't begin attempts any more. An error leaves the ledger unchanged;
 // its kind is fault.Invalid or fault.Overloaded.
 func (l *Ledger) Abandon(a Abandon, now int64) (int, *fault.Error) {
-	if err := a.check(); err != nil {
+	if err := l.CheckAbandon(a); err != nil {
 		return 0, err
 	}
 	if a.Incarnation <= l.dead[a.Entry] {
 		return 0, nil
 	}
-	if _, known := l.dead[a.Entry]; !known && len(l.dead) >= maxDeadVMs {
-		return 0, fault.New(fault.Overloaded, part, "limit of %d VMs with dead processes reached", maxDeadVMs)
-	}
 	l.dead[a.Entry] = a.Incarnation
 	keys := l.openKeysUpTo(a.Entry, a.Incarnation)
 	for _, key := range keys {
@@ -112,6 +114,17 @@
 	return len(keys), nil
 }
 
+// CheckAbandon returns the error that Abandon would return.
+func (l *Ledger) CheckAbandon(a Abandon) *fault.Error {
+	if err := a.check(); err != nil {
+		return err
+	}
+	if _, known := l.dead[a.Entry]; !known && len(l.dead) >= maxDeadVMs {
+		return fault.New(fault.Overloaded, part, "limit of %d VMs with dead processes reached", maxDeadVMs)
+	}
+	return nil
+}
+
 // openKeysUpTo returns the keys of the open records that the given and earlier
 // incarnations of the entry began, sorted.
 func (l *Ledger) openKeysUpTo(entry string, incarnation uint64) []KeyDigest {
@@ -148,7 +161,11 @@
 		l.responseBytes += len(response.Body)
 	}
 	l.records.put(next)
-	l.settled = append(l.settled, expiryItem{key: rec.Key, seq: l.lastSettledSeq, at: now})
+	item := expiryItem{key: rec.Key, seq: l.lastSettledSeq, at: now}
+	l.settled = append(l.settled, item)
+	if response != nil {
+		l.responses = append(l.responses, item)
+	}
 }
 
 // closeAttempt records that an attempt must not start. At the limit it evicts the
--- a/root/control/ledger/snapshot.go
+++ b/root/control/ledger/snapshot.go
@@ -108,8 +108,8 @@
 	return l.sortSettled()
 }
 
-// sortSettled sorts the expiry queue by settlement, and checks that the sequence
-// numbers are unique and the times don't decrease.
+// sortSettled sorts the expiry queue by settlement, checks that the sequence numbers are
+// unique and the times don't decrease, and rebuilds the queue of responses.
 func (l *Ledger) sortSettled() error {
 	slices.SortFunc(l.settled, func(a, b expiryItem) int {
 		if a.seq < b.seq {
@@ -122,6 +122,11 @@
 			return fault.New(fault.Corrupt, part, "sequence numbers and times of the records in the snapshot contradict each other")
 		}
 	}
+	for _, item := range l.settled {
+		if l.records.get(item.key).Response != nil {
+			l.responses = append(l.responses, item)
+		}
+	}
 	return nil
 }
 
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -102,11 +102,18 @@
 
 func (c ConfirmDead) apply(s *State, now int64) Result {
 	c.At = now
+	if c.Server != "" {
+		return authorityResult(s.authority.ConfirmDead(c.ConfirmDead))
+	}
+	abandon := ledger.Abandon{Entry: c.VM, Incarnation: c.Incarnation}
+	// The confirmation applies to locks and open work together, or to neither.
+	if err := s.ledger.CheckAbandon(abandon); err != nil {
+		return Result{Err: err}
+	}
 	r := authorityResult(s.authority.ConfirmDead(c.ConfirmDead))
-	if r.Err != nil || c.Server != "" {
-		return r
+	if r.Err == nil {
+		_, r.Err = s.ledger.Abandon(abandon, now)
 	}
-	_, r.Err = s.ledger.Abandon(ledger.Abandon{Entry: c.VM, Incarnation: c.Incarnation}, now)
 	return r
 }
 
--- a/root/control/table/csv.go
+++ b/root/control/table/csv.go
@@ -28,7 +28,7 @@
 const byteOrderMark = "\ufeff"
 
 // ParseCSV reads and validates a table. The columns may be in any order. Empty lines
-// are skipped and don't count as rows. Reading stops at malformed CSV, after a header
+// are skipped, but count as rows in errors, as in a spreadsheet. Reading stops at malformed CSV, after a header
 // with invalid columns and after MaxClasses+1 rows.
 //
 // The error has kind fault.TooLarge if more than MaxCSVBytes had to be read, unless
@@ -43,11 +43,11 @@
 	if err != nil {
 		return nil, in.readError(err)
 	}
-	p := &parser{}
+	p := &parser{rows: rows}
 	if err := p.readHeader(header); err != nil {
 		return nil, err
 	}
-	if err := p.readRows(rows); err != nil || in.exceeded {
+	if err := p.readRows(); err != nil || in.exceeded {
 		return nil, in.readError(err)
 	}
 	p.errs.checkTable(p.classes)
@@ -92,29 +92,43 @@
 
 // parser parses rows into classes and collects cell errors.
 type parser struct {
+	rows *csv.Reader
+	// lineBreaks counts the line breaks within the cells read so far.
+	lineBreaks int
 	// header holds the column name of each field.
 	header  []string
 	classes []Class
 	errs    cellErrors
 }
 
+// rowNumber returns the number of the row that was just read, as a spreadsheet shows it.
+func (p *parser) rowNumber(fields []string) int {
+	line, _ := p.rows.FieldPos(0)
+	row := line - p.lineBreaks
+	for _, field := range fields {
+		p.lineBreaks += strings.Count(field, "\n")
+	}
+	return row
+}
+
 func (p *parser) readHeader(fields []string) error {
+	row := p.rowNumber(fields)
 	fields[0] = strings.TrimPrefix(fields[0], byteOrderMark)
 	seen := make(map[string]bool, len(columns))
 	for _, field := range fields {
 		name := strings.TrimSpace(field)
 		switch {
 		case !isColumn(name):
-			p.errs.add(headerRow, quote(name), "unknown column")
+			p.errs.add(row, quote(name), "unknown column")
 		case seen[name]:
-			p.errs.add(headerRow, name, "duplicate column")
+			p.errs.add(row, name, "duplicate column")
 		}
 		seen[name] = true
 		p.header = append(p.header, name)
 	}
 	for _, name := range columns {
 		if !seen[name] {
-			p.errs.add(headerRow, name, "missing column")
+			p.errs.add(row, name, "missing column")
 		}
 	}
 	return p.errs.err()
@@ -129,9 +143,9 @@
 	return false
 }
 
-func (p *parser) readRows(rows *csv.Reader) error {
+func (p *parser) readRows() error {
 	for len(p.classes) <= MaxClasses {
-		fields, err := rows.Read()
+		fields, err := p.rows.Read()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -144,7 +158,8 @@
 }
 
 func (p *parser) readRow(fields []string) {
-	row := headerRow + 1 + len(p.classes)
+	row := p.rowNumber(fields)
+	p.errs.rows = append(p.errs.rows, row)
 	var c Class
 	for i, name := range p.header {
 		if i >= len(fields) {
--- a/root/control/table/validate.go
+++ b/root/control/table/validate.go
@@ -47,6 +47,8 @@
 
 // cellErrors collects the errors of a table. Each cell is reported once.
 type cellErrors struct {
+	// rows holds the row of each class; without it, the classes follow the header.
+	rows     []int
 	seen     map[cell]bool
 	messages []string
 }
@@ -78,17 +80,25 @@
 	return fault.New(fault.Invalid, part, "%s", list)
 }
 
+// row returns the row of the i-th class.
+func (e *cellErrors) row(i int) int {
+	if i < len(e.rows) {
+		return e.rows[i]
+	}
+	return headerRow + 1 + i
+}
+
 func (e *cellErrors) checkTable(classes []Class) {
 	if len(classes) == 0 {
 		e.add(headerRow+1, columnClass, "the table must have at least one class")
 	}
 	if len(classes) > MaxClasses {
-		e.add(headerRow+1+MaxClasses, columnClass, "more than %d classes", MaxClasses)
+		e.add(e.row(MaxClasses), columnClass, "more than %d classes", MaxClasses)
 		return
 	}
 	firstRow := make(map[string]int, len(classes))
 	for i, c := range classes {
-		row := headerRow + 1 + i
+		row := e.row(i)
 		if other, ok := firstRow[c.Name]; ok {
 			e.add(row, columnClass, "%s is already defined in row %d", quote(c.Name), other)
 		} else {
--- a/root/control/view/tracker.go
+++ b/root/control/view/tracker.go
@@ -185,7 +185,7 @@
 func (c *ChangeTracker) recordRemoval(r removal) {
 	c.removed = append(c.removed, r)
 	if len(c.removed) > maxRemoved {
-		c.compactedSeq = c.removed[0].seq
+		c.compactedSeq = max(c.compactedSeq, c.removed[0].seq)
 		c.removed = slices.Delete(c.removed, 0, 1)
 	}
 }
--- a/root/control/view/view_test.go
+++ b/root/control/view/view_test.go
@@ -93,6 +93,28 @@
 	c.Assert(next.Servers, qt.DeepEquals, busy)
 }
 
+// TestReceiverOfAPartialViewGetsAFullUpdate removes members while the view is partial and
+// then so many that the first removals are no longer recorded. A receiver of the partial
+// view must not get an incremental update, which would keep a server that is gone.
+func TestReceiverOfAPartialViewGetsAFullUpdate(t *testing.T) {
+	c := qt.New(t)
+	tracker := view.NewChangeTracker(9)
+	tracker.SetPartial(true)
+	tracker.Set(table.Table{}, nil, servers("a", "b", "c"), nil)
+	tracker.Set(table.Table{}, nil, servers("b", "c"), nil)
+	tracker.Set(table.Table{}, nil, servers("c"), nil)
+	receiver, ok := tracker.Since(view.Versions{}).Apply(&view.View{Term: 8, Seq: 40, Servers: servers("c", "gone")})
+	c.Assert(ok, qt.IsTrue)
+	tracker.SetPartial(false)
+	for range 1023 {
+		tracker.Set(table.Table{}, nil, servers("c", "d"), nil)
+		tracker.Set(table.Table{}, nil, servers("c"), nil)
+	}
+	receiver, ok = tracker.Since(view.Versions{Seq: receiver.Seq}).Apply(receiver)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(receiver.Servers, qt.DeepEquals, servers("c"))
+}
+
 // Computing a delta is expensive, and receivers at different sequence numbers often
 // have the same routing version.
 func TestRoutesDeltaIsCached(t *testing.T) {
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -85,10 +85,8 @@
 		return fleet.Server{}, err
 	}
 	kind := fleet.Engine
-	targets := a.Models
 	if a.Kind == "service" {
 		kind = fleet.PlainServer
-		targets = a.Services
 	}
 	role, ok := roles[a.Role]
 	if !ok {
@@ -105,7 +103,7 @@
 		FailureDomain: a.FailureDomain,
 		Kind:          kind,
 		Role:          role,
-		Targets:       targets,
+		Targets:       a.targets(),
 		Slots:         a.Slots,
 		CacheTokens:   a.CacheTokens,
 		State:         state,
@@ -122,8 +120,7 @@
 var states = map[string]fleet.State{"": fleet.Active, "active": fleet.Active, "leaving": fleet.Leaving}
 
 // validate checks the announcement except for role and state, which toServer looks
-// up. It counts models and services together, although toServer uses only those of
-// the kind.
+// up.
 func (a Announcement) validate() error {
 	u, err := url.Parse(a.Address)
 	switch {
@@ -137,13 +134,25 @@
 		return fault.New(fault.Invalid, part, "kind must be engine or service")
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fault.New(fault.Invalid, part, "slots must be between 1 and %d", maxSlots)
-	case len(a.Models)+len(a.Services) == 0 || len(a.Models)+len(a.Services) > maxTargets:
+	case a.Kind == "engine" && len(a.Services) > 0:
+		return fault.New(fault.Invalid, part, "an engine lists models, not services")
+	case a.Kind == "service" && len(a.Models) > 0:
+		return fault.New(fault.Invalid, part, "a service lists services, not models")
+	case len(a.targets()) == 0 || len(a.targets()) > maxTargets:
 		return fault.New(fault.Invalid, part, "between 1 and %d models or services are required", maxTargets)
 	default:
 		return nil
 	}
 }
 
+// targets returns the models of an engine or the services of a service.
+func (a Announcement) targets() []string {
+	if a.Kind == "service" {
+		return a.Services
+	}
+	return a.Models
+}
+
 // availableModels returns the sorted names of the models that active engines
 // serve.
 func availableModels(servers []fleet.Server) []string {
--- a/root/traffic/frontdoor/frontdoor_test.go
+++ b/root/traffic/frontdoor/frontdoor_test.go
@@ -162,6 +162,21 @@
 	return n, nil
 }
 
+// TestAnnouncementNamesTargetsOfItsKind announces backend servers that list targets of
+// the other kind, and would be in the fleet without any target.
+func TestAnnouncementNamesTargetsOfItsKind(t *testing.T) {
+	c := qt.New(t)
+	server := newTestServer(t, echo)
+	for _, targets := range []string{
+		`"kind":"service","models":["m"]`, `"kind":"engine","services":["s"]`, `"kind":"service"`,
+		`"kind":"service","services":["s"],"models":["m"]`,
+	} {
+		resp, _ := server.send(c, "POST", "/v1/backend-servers", `{"id":"e","incarnation":1,"address":"http://127.0.0.1:1","slots":1,`+targets+`}`)
+		c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest, qt.Commentf("%s", targets))
+	}
+	c.Check(server.announcements, qt.HasLen, 0)
+}
+
 func TestAnnouncementRequiresLease(t *testing.T) {
 	c := qt.New(t)
 	server := newTestServer(t, echo)
