--- a/api/codec/order.go
+++ b/api/codec/order.go
@@ -98,6 +98,22 @@
 	}
 }
 
+func fromProposals(proposals []authority.Proposal) []*api.LogProposal {
+	var out []*api.LogProposal
+	for _, p := range proposals {
+		out = append(out, &api.LogProposal{Vm: p.VM, Id: p.ID})
+	}
+	return out
+}
+
+func toProposals(ms []*api.LogProposal) []authority.Proposal {
+	var out []authority.Proposal
+	for _, m := range ms {
+		out = append(out, authority.Proposal{VM: m.GetVm(), ID: m.GetId()})
+	}
+	return out
+}
+
 func fromRecordOrder(r authority.RecordOrder) *api.LogRecordOrder {
 	return &api.LogRecordOrder{
 		Server: r.Server,
@@ -105,6 +121,8 @@
 		After:  r.After,
 		Action: fromAction(r.Action),
 		AtMs:   r.At,
+
+		Proposals: fromProposals(r.Proposals),
 	}
 }
 
@@ -116,6 +134,8 @@
 		After:  m.After,
 		Action: action,
 		At:     m.AtMs,
+
+		Proposals: toProposals(m.Proposals),
 	}, err
 }
 
@@ -127,6 +147,8 @@
 		Outcome:  uint32(s.Outcome),
 		Observed: s.Observed,
 		AtMs:     s.At,
+
+		Proposals: fromProposals(s.Proposals),
 	}
 }
 
@@ -139,6 +161,8 @@
 		Outcome:  outcome,
 		Observed: m.Observed,
 		At:       m.AtMs,
+
+		Proposals: toProposals(m.Proposals),
 	}, err
 }
 
--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -134,6 +134,14 @@
 	for _, c := range s.Confirmations {
 		m.Confirmations = append(m.Confirmations, fromConfirmDead(c))
 	}
+	for _, o := range s.Proposals {
+		m.Proposals = append(m.Proposals, &api.LogProposedOrder{
+			Proposal: &api.LogProposal{Vm: o.Proposal.VM, Id: o.Proposal.ID},
+			Server:   o.Server,
+			Order:    fromOrder(o.Order),
+			AtMs:     o.At,
+		})
+	}
 	return m
 }
 
@@ -155,6 +163,18 @@
 	for _, c := range m.GetConfirmations() {
 		out.Confirmations = append(out.Confirmations, toConfirmDead(c))
 	}
+	for _, o := range m.GetProposals() {
+		order, err := toOrder(o.Order)
+		if err != nil {
+			return authority.Snapshot{}, err
+		}
+		out.Proposals = append(out.Proposals, authority.ProposedOrder{
+			Proposal: authority.Proposal{VM: o.Proposal.GetVm(), ID: o.Proposal.GetId()},
+			Server:   o.Server,
+			Order:    order,
+			At:       o.AtMs,
+		})
+	}
 	return out, nil
 }
 
--- a/root/control/authority/authority.go
+++ b/root/control/authority/authority.go
@@ -12,6 +12,9 @@
 	// dead maps a VM to its newest incarnation that an operator confirmed dead.
 	dead          map[string]uint64
 	confirmations []Confirmation
+	// proposals is in the order in which they were recorded. It is replaced, never
+	// modified, because snapshots share it.
+	proposals []ProposedOrder
 }
 
 // New returns a state without locks.
--- a/root/control/authority/check.go
+++ b/root/control/authority/check.go
@@ -56,6 +56,9 @@
 }
 
 func (r RecordOrder) check() *fault.Error {
+	if err := checkProposals(r.Proposals); err != nil {
+		return err
+	}
 	if err := r.Action.check(); err != nil {
 		return err
 	}
@@ -68,6 +71,9 @@
 	default:
 		return invalid("the outcome of an order must be succeeded, failed or unknown")
 	}
+	if err := checkProposals(s.Proposals); err != nil {
+		return err
+	}
 	if len(s.Observed) > MaxTextBytes {
 		return invalid("an observed state must have at most %d bytes", MaxTextBytes)
 	}
--- a/root/control/authority/order.go
+++ b/root/control/authority/order.go
@@ -19,6 +19,7 @@
 		return Result{}, err
 	}
 	if old.Order.isDuplicateOf(r) {
+		l.recordProposals(r.Proposals, r.Server, old.Order, r.At)
 		return Result{Fence: old.Order.Fence, Holder: old.Holder, Order: old.Order, Repeated: true}, nil
 	}
 	if !old.Order.State.Settled() {
@@ -34,6 +35,7 @@
 	next.Fence++
 	next.Order = Order{Fence: next.Fence, After: r.After, Holder: r.Holder, Action: r.Action, State: Issued}
 	l.servers[r.Server] = &next
+	l.recordProposals(r.Proposals, r.Server, next.Order, r.At)
 	return newResult(next, false), nil
 }
 
@@ -91,6 +93,7 @@
 		next.Order.Observed = r.Observed
 	}
 	l.servers[r.Server] = &next
+	l.recordProposals(r.Proposals, r.Server, next.Order, r.At)
 	return Result{Fence: r.Fence, Holder: next.Holder, Order: next.Order, Repeated: repeated}, nil
 }
 
--- a/root/control/authority/snapshot.go
+++ b/root/control/authority/snapshot.go
@@ -15,6 +15,8 @@
 	// Dead maps a VM to its newest incarnation that was confirmed dead.
 	Dead          map[string]uint64
 	Confirmations []Confirmation
+	// Proposals is in the order in which they were recorded.
+	Proposals []ProposedOrder
 }
 
 // Snapshot returns a copy of the current state. Later operations don't affect
@@ -29,14 +31,16 @@
 		Servers:       servers,
 		Dead:          maps.Clone(l.dead),
 		Confirmations: slices.Clone(l.confirmations),
+		Proposals:     l.proposals,
 	}
 }
 
 // Restore rebuilds the state from a snapshot. The error is of kind
 // fault.Corrupt.
 func Restore(snap Snapshot) (*Locks, error) {
-	if len(snap.Servers) > MaxServers || len(snap.Dead) > MaxVMs || len(snap.Confirmations) > MaxConfirmations {
-		return nil, fault.New(fault.Corrupt, part, "the snapshot exceeds the limits on servers, dead VMs or confirmations")
+	if len(snap.Servers) > MaxServers || len(snap.Dead) > MaxVMs || len(snap.Confirmations) > MaxConfirmations ||
+		len(snap.Proposals) > MaxProposals {
+		return nil, fault.New(fault.Corrupt, part, "the snapshot exceeds the limits on servers, dead VMs, confirmations or proposals")
 	}
 	l := New()
 	maps.Copy(l.dead, snap.Dead)
@@ -50,6 +54,12 @@
 		}
 		l.servers[s.ID] = &s
 	}
+	for _, o := range snap.Proposals {
+		if err := o.check(); err != nil {
+			return nil, err
+		}
+		l.proposals = append(l.proposals, o)
+	}
 	return l, nil
 }
 
--- a/root/control/authority/types.go
+++ b/root/control/authority/types.go
@@ -138,8 +138,9 @@
 	// Acquire or RecordOrder. It identifies retries of the same request.
 	After  uint64
 	Action Action
-	// At is the time of the command in Unix milliseconds. The operation doesn't use
-	// it.
+	// Proposals are the requests that the order serves.
+	Proposals []Proposal
+	// At is the time of the command in Unix milliseconds.
 	At int64
 }
 
@@ -155,8 +156,9 @@
 	Outcome OrderState
 	// Observed describes the server's state for operators.
 	Observed string
-	// At is the time of the command in Unix milliseconds. The operation doesn't use
-	// it.
+	// Proposals are requests that the order serves, beside those of its RecordOrder.
+	Proposals []Proposal
+	// At is the time of the command in Unix milliseconds.
 	At int64
 }
 
--- a/root/control/encode/encode.go
+++ b/root/control/encode/encode.go
@@ -8,8 +8,11 @@
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
+const part = "control/encode"
+
 // Encoder is a service that encodes one snapshot at a time.
 type Encoder struct {
 	queue  chan machine.EncodeSnapshot
@@ -26,20 +29,27 @@
 }
 
 // Submit queues a snapshot. It must not be called again before the result of the last
-// snapshot; otherwise it may block. After a lost result (see Serve), the control thread
-// submits no more snapshots for compaction until the process restarts.
+// snapshot; otherwise it may block.
 func (e *Encoder) Submit(s machine.EncodeSnapshot) { e.queue <- s }
 
-// Serve encodes submitted snapshots until ctx ends. The result of a snapshot is lost
-// if its encoding panics, and can be lost if ctx ends during the encoding.
+// Serve encodes submitted snapshots until ctx ends. A panic in the encoding is an error
+// of the result. The result can be lost if ctx ends during the encoding.
 func (e *Encoder) Serve(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case s := <-e.queue:
-			data, err := e.encode(s.State)
-			e.done(ctx, machine.SnapshotEncoded{Index: s.Index, Data: data, Err: err})
+			e.done(ctx, e.result(s))
 		}
 	}
 }
+
+func (e *Encoder) result(s machine.EncodeSnapshot) machine.SnapshotEncoded {
+	out := machine.SnapshotEncoded{Index: s.Index}
+	out.Err = supervise.Catch(part, func() (err error) {
+		out.Data, err = e.encode(s.State)
+		return err
+	})
+	return out
+}
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -18,6 +18,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
 const part = "control/loop"
@@ -66,9 +67,9 @@
 	return l
 }
 
-// Serve runs the control thread until ctx ends. If a step panics, the supervisor
-// calls Serve again with the same machine. The effects of that step that had not been
-// executed are lost.
+// Serve runs the control thread until ctx ends. If a step panics, the control state may
+// be half changed and effects may be lost. Serve then halts the process and discards all
+// further events.
 func (l *Loop) Serve(ctx context.Context) error {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
@@ -79,7 +80,10 @@
 		if !ok {
 			return ctx.Err()
 		}
-		l.step(ev)
+		if err := l.step(ev); err != nil {
+			l.halt(err)
+			return l.discardEvents(ctx)
+		}
 		timer.Reset(time.Until(l.machine.NextWake()))
 	}
 }
@@ -97,11 +101,37 @@
 	}
 }
 
-func (l *Loop) step(ev machine.Event) {
+// step passes an event to the machine and executes the effects. It returns an error if
+// either panics.
+func (l *Loop) step(ev machine.Event) (err *fault.Error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = supervise.PanicError(part, cause)
+		}
+	}()
 	l.steps.Add(1)
 	for _, e := range l.machine.Step(time.Now(), ev) {
 		l.execute(e)
 	}
+	return nil
+}
+
+func (l *Loop) halt(err *fault.Error) {
+	l.log.Error(err, "fatal error in the control state, stopping the process")
+	l.handlers.Halt(err)
+}
+
+// discardEvents receives events until ctx ends, so that nobody blocks on the inbox of a
+// process that is about to end.
+func (l *Loop) discardEvents(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.inbox.reliable:
+		case <-l.inbox.droppable:
+		}
+	}
 }
 
 func (l *Loop) execute(e machine.Effect) {
@@ -123,8 +153,7 @@
 	case machine.History:
 		l.histories.deliver(e.ID, e)
 	case machine.Halt:
-		l.log.Error(e.Err, "fatal error in the control state, stopping the process")
-		l.handlers.Halt(e.Err)
+		l.halt(e.Err)
 	}
 }
 
--- a/root/control/loop/loop_test.go
+++ b/root/control/loop/loop_test.go
@@ -121,6 +121,29 @@
 	})
 }
 
+// TestPanicHaltsTheProcess panics in an effect of a step. The rest of the step is lost,
+// so the process must end, and nobody may block on the loop until it has.
+func TestPanicHaltsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cfg := config
+		cfg.Replicas = []string{"vm-2"}
+		halted := make(chan *fault.Error, 1)
+		l := loop.New(machine.New(cfg, time.Now()), loop.Handlers{
+			Send: func(string, machine.Message) { panic("broken handler") },
+			Halt: func(err *fault.Error) { halted <- err },
+		}, 1, logr.Discard())
+		run(t, l)
+		err := <-halted
+		c.Assert(err.Kind, qt.Equals, fault.Internal)
+		c.Assert(err.Error(), qt.Contains, "broken handler")
+		c.Assert(err.Error(), qt.Contains, "loop_test.go")
+		for range 2 * 4096 {
+			c.Assert(l.Post(t.Context(), machine.Persisted{}), qt.IsNil)
+		}
+	})
+}
+
 // The loop is not running, so that nothing leaves the inbox.
 func TestFullInboxDropsDroppableEvents(t *testing.T) {
 	c := qt.New(t)
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -34,7 +34,12 @@
 	}
 	switch cmd := msg.Command.(type) {
 	case replicated.RecordOrder:
-		l.orders.request(p, cmd)
+		if !l.orders.repeat(p) {
+			l.orders.request(p, cmd)
+		}
+	case replicated.SettleOrder:
+		cmd.Proposals = l.orders.proposals(cmd.Server)
+		l.propose(cmd, p)
 	case replicated.ReadRoutes:
 		l.readRoutes(p)
 	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.Tick:
--- a/root/control/machine/orders.go
+++ b/root/control/machine/orders.go
@@ -15,6 +15,7 @@
 type orders struct {
 	l        *leader
 	byServer map[string]*order
+	answers  orderAnswers
 }
 
 type orderPhase uint8
@@ -52,7 +53,7 @@
 
 // newOrders starts to recover the orders that an earlier leader left unsettled.
 func newOrders(l *leader) *orders {
-	o := &orders{l: l, byServer: map[string]*order{}}
+	o := &orders{l: l, byServer: map[string]*order{}, answers: newOrderAnswers()}
 	for _, s := range l.r.state.Authority().Servers() {
 		if !s.Order.State.Settled() {
 			o.byServer[s.ID] = &order{server: s.ID, action: s.Order.Action, phase: orderAcquiring, recovering: true, retryAt: l.m.now}
@@ -79,12 +80,16 @@
 // progress.
 func (o *orders) request(p proposer, cmd replicated.RecordOrder) {
 	if _, known := o.l.fleet.Server(cmd.Server); !known {
-		o.l.answer(p, replicated.Result{Err: fault.New(fault.NotFound, part, "unknown backend server %q", cmd.Server)})
+		o.answer(p, replicated.Result{Err: fault.New(fault.NotFound, part, "unknown backend server %q", cmd.Server)})
 		return
 	}
 	if ord := o.byServer[cmd.Server]; ord != nil {
 		if ord.action != cmd.Action {
-			o.l.answer(p, replicated.Result{Err: fault.New(fault.Conflict, part, "another order to backend server %q is in progress", cmd.Server)})
+			o.answer(p, replicated.Result{Err: fault.New(fault.Conflict, part, "another order to backend server %q is in progress", cmd.Server)})
+			return
+		}
+		if len(ord.proposers) == authority.MaxProposalsPerOrder {
+			o.answer(p, replicated.Result{Err: fault.New(fault.Overloaded, part, "too many requests for the order to backend server %q", cmd.Server)})
 			return
 		}
 		ord.proposers = append(ord.proposers, p)
@@ -196,6 +201,7 @@
 		ord.phase = orderRecording
 		o.l.propose(replicated.RecordOrder{RecordOrder: authority.RecordOrder{
 			Server: ord.server, Holder: o.self(), After: result.Authority.Fence, Action: ord.action,
+			Proposals: ord.proposals(),
 		}}, proposer{})
 	}
 }
@@ -247,11 +253,8 @@
 // finish answers the proposers and lets the server receive work again.
 func (o *orders) finish(ord *order, result replicated.Result) {
 	delete(o.byServer, ord.server)
-	if result.Err == nil && result.Authority.Order.State == authority.Failed {
-		result.Err = fault.New(fault.BackendFailed, part, "backend server %q did not carry out the order", ord.server).WithRan(fault.RanNo)
-	}
 	for _, p := range ord.proposers {
-		o.l.answer(p, result)
+		o.answer(p, orderResult(result))
 	}
 	o.l.pushView()
 }
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -92,11 +92,13 @@
 	return authorityResult(s.authority.Release(c.Release))
 }
 
-func (c RecordOrder) apply(s *State, _ int64) Result {
+func (c RecordOrder) apply(s *State, now int64) Result {
+	c.At = now
 	return authorityResult(s.authority.RecordOrder(c.RecordOrder, s.fencing[c.Server].Checks))
 }
 
-func (c SettleOrder) apply(s *State, _ int64) Result {
+func (c SettleOrder) apply(s *State, now int64) Result {
+	c.At = now
 	return authorityResult(s.authority.SettleOrder(c.SettleOrder))
 }
 
--- /dev/null
+++ b/root/orders/attempt_test.go
@@ -0,0 +1,55 @@
+package orders
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+// TestRejectedOrderSettlesAfterTheLateEffectLimit aborts the first attempt of an order and
+// rejects all later ones. Rejections must not extend the time in which the first attempt
+// may take effect.
+func TestRejectedOrderSettlesAfterTheLateEffectLimit(t *testing.T) {
+	c := qt.New(t)
+	posts := 0
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodGet:
+			_, _ = w.Write([]byte(`{"fence":4,"role":"decode"}`))
+		case posts == 0:
+			posts++
+			panic(http.ErrAbortHandler)
+		default:
+			w.WriteHeader(http.StatusConflict)
+		}
+	}))
+	t.Cleanup(engine.Close)
+	s := New(func(machine.OrderDone) {}, logr.Discard())
+	order := machine.IssueOrder{
+		Server: fleet.Server{ID: "engine-1", Address: engine.URL}, Fence: 4,
+		Order: authority.Order{Fence: 4, Action: authority.Action{Kind: authority.ChangeRole, Role: fleet.Prefill}},
+	}
+	var uncertainAt time.Time
+	_, err := s.attempt(t.Context(), order, &uncertainAt)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(uncertainAt.IsZero(), qt.IsFalse)
+	first := uncertainAt
+	for range 3 {
+		_, err = s.attempt(t.Context(), order, &uncertainAt)
+		c.Assert(errors.Is(err, errMayTakeEffect), qt.IsTrue)
+		c.Assert(uncertainAt, qt.Equals, first)
+	}
+	uncertainAt = first.Add(-lateEffectLimit)
+	done, err := s.attempt(t.Context(), order, &uncertainAt)
+	c.Assert(err, qt.IsNil)
+	c.Assert(done.Applied, qt.IsFalse)
+}
--- a/root/orders/orders.go
+++ b/root/orders/orders.go
@@ -18,8 +18,11 @@
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
+const part = "orders"
+
 // FenceHeader carries a fencing token in a request for a server's state. The server
 // raises its own token to it.
 const FenceHeader = "Wagtaildyke-Fence"
@@ -82,18 +85,20 @@
 
 // process sends or observes one order until its outcome is definite.
 func (s *Sender) process(ctx context.Context, o machine.IssueOrder) {
-	// uncertainAt is the end of the last attempt that did not settle the order. After
-	// errMayTakeEffect it is set too, so lateEffectLimit counts from the previous attempt,
-	// and an order whose retries are rejected at once is retried without end.
+	// uncertainAt is the end of the last attempt without a definite response, which may
+	// take effect until lateEffectLimit after that; zero if there is none.
 	var uncertainAt time.Time
 	for wait := minRetryBackoff; ctx.Err() == nil; wait = min(2*wait, maxRetryBackoff) {
-		done, err := s.attempt(ctx, o, uncertainAt)
+		var done machine.OrderDone
+		err := supervise.Catch(part, func() (err error) {
+			done, err = s.attempt(ctx, o, &uncertainAt)
+			return err
+		})
 		if err == nil {
 			s.log.Info("order settled", "server", o.Server.ID, "fence", o.Order.Fence, "applied", done.Applied)
 			s.onDone(done)
 			return
 		}
-		uncertainAt = time.Now()
 		s.log.Info("order outcome not known yet, retrying", "server", o.Server.ID, "fence", o.Order.Fence, "reason", err.Error())
 		sleep(ctx, wait)
 	}
@@ -109,12 +114,15 @@
 }
 
 // attempt returns the definite outcome of an order, or an error if it is not known
-// yet.
-func (s *Sender) attempt(ctx context.Context, o machine.IssueOrder, uncertainAt time.Time) (machine.OrderDone, error) {
+// yet. It sets uncertainAt if the order was sent without a definite response.
+func (s *Sender) attempt(ctx context.Context, o machine.IssueOrder, uncertainAt *time.Time) (machine.OrderDone, error) {
 	if o.Observe {
 		return s.observe(ctx, o)
 	}
 	done, err := s.send(ctx, o)
+	if err != nil {
+		*uncertainAt = time.Now()
+	}
 	if err != nil || done.Applied || uncertainAt.IsZero() {
 		return done, err
 	}
@@ -124,7 +132,7 @@
 	if err != nil || observed.Applied {
 		return observed, err
 	}
-	if time.Since(uncertainAt) < lateEffectLimit {
+	if time.Since(*uncertainAt) < lateEffectLimit {
 		return observed, errMayTakeEffect
 	}
 	return observed, nil
--- a/root/peers/close_test.go
+++ b/root/peers/close_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// TestPanicEndsOnlyTheSession panics while a received message is handled. The session
+// ends, and the next one delivers.
+func TestPanicEndsOnlyTheSession(t *testing.T) {
+	ln := listen(t)
+	a := &testMesh{delivered: make(chan delivery, 16)}
+	panicked := false
+	a.mesh = peers.New(codec.Hello{VM: "vm-1", Incarnation: 1, Cluster: "x"}, peers.PlainDialer,
+		func(_ context.Context, from string, msg machine.Message) {
+			if !panicked {
+				panicked = true
+				panic("broken message")
+			}
+			a.delivered <- delivery{from, msg}
+		}, logr.Discard())
+	b := newTestMesh("vm-2", "x", peers.PlainDialer)
+	serve(t, a.mesh.Acceptor(ln))
+	serve(t, b.mesh.Link(peers.Peer{ID: "vm-1", Address: ln.Addr().String()}))
+	sendUntilDelivered(t, b, "vm-1", a, machine.NotLeader{Leader: "vm-3"})
+}
+
 // capturingListener passes on the connections that it accepts.
 type capturingListener struct {
 	net.Listener
--- a/root/peers/on_demand.go
+++ b/root/peers/on_demand.go
@@ -74,7 +74,7 @@
 func (l *OnDemandLinks) runSession(ctx context.Context, vm string) {
 	started := time.Now()
 	link := &Link{mesh: l.mesh, peer: Peer{ID: vm, Address: l.address(vm)}}
-	err := link.runSession(ctx)
+	err := supervise.Catch(part, func() error { return link.runSession(ctx) })
 	l.mesh.log.V(1).Info("session ended or could not be opened", "peer", vm, "reason", errorText(err))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/sockets"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
 // Timeouts of dials, connections and queues.
@@ -169,7 +170,11 @@
 
 func (m *Mesh) handleFrame(ctx context.Context, from string, frame []byte) {
 	m.receivedBytes.Add(uint64(len(frame)))
-	msg, err := codec.DecodeMessage(frame)
+	var msg machine.Message
+	err := supervise.Catch(part, func() (err error) {
+		msg, err = codec.DecodeMessage(frame)
+		return err
+	})
 	if err != nil {
 		m.log.Error(err, "dropped a frame: decoding failed", "peer", from)
 		return
@@ -283,7 +288,11 @@
 	if err := sockets.Configure(conn, unackedTimeout); err != nil {
 		a.mesh.log.Error(err, "failed to set TCP options", "remote", conn.RemoteAddr().String())
 	}
-	s, err := accept(conn, a.mesh.local)
+	var s *session
+	err := supervise.Catch(part, func() (err error) {
+		s, err = accept(conn, a.mesh.local)
+		return err
+	})
 	if err != nil {
 		conn.Close()
 		a.mesh.log.V(1).Info("rejected a session", "remote", conn.RemoteAddr().String(), "reason", err.Error())
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
 // Parameters of a session.
@@ -144,10 +145,12 @@
 	stop := context.AfterFunc(ctx, func() { s.mux.Close() })
 	defer stop()
 	urgent, bulk := s.streams[0], s.streams[1]
-	go func() { cancel(writeUrgent(ctx, urgent, q, encode)) }()
-	go func() { cancel(writeBulk(ctx, bulk, q.bulk)) }()
+	// A panic ends the session, not the process.
+	run := func(f func() error) { cancel(supervise.Catch(part, f)) }
+	go run(func() error { return writeUrgent(ctx, urgent, q, encode) })
+	go run(func() error { return writeBulk(ctx, bulk, q.bulk) })
 	for _, st := range s.streams {
-		go func() { cancel(readLoop(st, deliver)) }()
+		go run(func() error { return readLoop(st, deliver) })
 	}
 	select {
 	case <-ctx.Done():
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -10,6 +10,7 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
 const (
@@ -108,7 +109,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := r.Backend.Release(ctx, handle); err != nil {
+		if err := supervise.Catch(part, func() error { return r.Backend.Release(ctx, handle) }); err != nil {
 			r.Log.V(1).Info("failed to release KV cache; it will expire", "request", r.req.ID,
 				"server", handle.Server.ID, "reason", err.Error())
 		}
