--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -4,8 +4,8 @@
 // HTTPClient exposes typed calls, responses and events. By event ids of the form
 // "request-id/number" it detects events of other requests, duplicates and gaps.
 //
-// Transport sends requests with any target, header fields and body over its own
-// connection pool, each at most once. VerbatimReader splits a response body into
+// Transport, on which HTTPClient is built, sends requests with any target, header fields
+// and body over its own connection pool, each at most once. VerbatimReader splits a response body into
 // events without changing their bytes, and reads event ids that are plain numbers.
 package engine
 
@@ -34,8 +34,8 @@
 	// ResumeAfter is the number of events already received, after which the
 	// stream resumes; 0 requests the stream from its start.
 	ResumeAfter int
-	// AtMostOnce rules out retransmission: the call is sent on a new connection,
-	// on which net/http never retries.
+	// AtMostOnce sends the call on a new connection. An idle one may be closed by the
+	// server just as the call arrives, which leaves its outcome unknown.
 	AtMostOnce bool
 }
 
--- /dev/null
+++ b/root/traffic/engine/exchange.go
@@ -0,0 +1,219 @@
+package engine
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+)
+
+// writeResult is the progress of writing a request.
+type writeResult struct {
+	// n is the number of bytes written before send returned.
+	n   int
+	err error
+	// bodyWritten is closed once the body is written completely; it is nil if send
+	// wrote the whole request or failed.
+	bodyWritten <-chan struct{}
+}
+
+// send writes a request. A large body is written by its own goroutine while the
+// response is read, since a server may respond before it has read the body.
+func (c *conn) send(req RawRequest) writeResult {
+	head := req.encodeHead()
+	if len(req.Body) <= maxInlineBody {
+		n, err := c.Write(append(head, req.Body...))
+		return writeResult{n: n, err: err}
+	}
+	n, err := c.Write(head)
+	if err != nil {
+		return writeResult{n: n, err: err}
+	}
+	bodyWritten := make(chan struct{})
+	go func() {
+		if _, err := c.Write(req.Body); err != nil {
+			// The reader of the response reports the failure. bodyWritten stays
+			// open, so the connection is not reused.
+			return
+		}
+		close(bodyWritten)
+	}()
+	return writeResult{n: n, bodyWritten: bodyWritten}
+}
+
+// encodeHead encodes the request line and the header fields. An empty body has a
+// Content-Length only if the method is neither GET nor HEAD.
+func (r *RawRequest) encodeHead() []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// Writes to a bytes.Buffer don't fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// Limits on what a server may send before the response to a request.
+const (
+	// maxHeadBytes bounds the head of one response.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the interim (1xx) responses.
+	maxInterimResponses = 16
+	// maxLateResponses bounds the late responses to earlier requests.
+	maxLateResponses = 8
+)
+
+var errHeadTooLarge = errors.New("response head is too large")
+
+// limitedReader reads from r. While bounded is set, it reads at most left more bytes.
+type limitedReader struct {
+	r       io.Reader
+	bounded bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.bounded {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of the response to the request. It skips interim (1xx)
+// responses and, on a connection that carried earlier requests, late responses to them
+// together with their bodies.
+//
+// A response without an id is accepted on a new connection only, which then isn't
+// reused: on a reused one it may be a late copy of an earlier response. A response to
+// another request on a new connection means that the server mixes up its responses.
+func (c *conn) readHead(req RawRequest) (*http.Response, error) {
+	late := 0
+	for {
+		resp, err := c.readOneHead(req.Method)
+		if err != nil {
+			return nil, err
+		}
+		if req.ResponseID == nil {
+			return resp, nil
+		}
+		switch id := req.ResponseID(resp.Header); {
+		case id == req.ID:
+			return resp, nil
+		case id == "" && c.exchanges == 0:
+			c.unidentified = true
+			return resp, nil
+		case id == "" || c.exchanges == 0 || late == maxLateResponses:
+			c.transport.stats.unsolicited.Add(1)
+			return nil, fault.New(fault.OutcomeUnknown, part, "the server responded to another request")
+		}
+		c.transport.stats.unsolicited.Add(1)
+		late++
+		if _, err := c.transport.ReadBody(resp.Body); err != nil || resp.Close {
+			return nil, fault.New(fault.OutcomeUnknown, part, "connection is unusable after a response to another request")
+		}
+	}
+}
+
+// readOneHead reads the head of the next response that is not an interim one.
+func (c *conn) readOneHead(method string) (*http.Response, error) {
+	defer func() { c.limit.bounded = false }()
+	for range maxInterimResponses {
+		c.limit.bounded, c.limit.left = true, maxHeadBytes
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, fault.New(fault.OutcomeUnknown, part, "more than %d interim responses", maxInterimResponses)
+}
+
+// responseBody returns its connection to the pool when the exchange is complete.
+type responseBody struct {
+	io.ReadCloser
+	conn *conn
+	// stop ends the watch on the context; it reports false if the context ended
+	// first.
+	stop func() bool
+	resp *http.Response
+	// bodyWritten is that of the request's writeResult.
+	bodyWritten <-chan struct{}
+	// complete is set once the response was read to its end.
+	complete bool
+}
+
+// Read implements io.Reader and records the end of the body.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.complete = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is reused only if the response was read
+// completely and had an id, requestWritten reports true, the server keeps the connection
+// open, and no further bytes have arrived on it; otherwise it is closed. Close must be called
+// only once: a second call closes the connection, which may carry another request by
+// then.
+func (b *responseBody) Close() error {
+	active := b.stop()
+	if !active || !b.complete || b.resp.Close || b.conn.unidentified || !b.requestWritten() {
+		return b.conn.Close()
+	}
+	timeout := idleTimeout(b.resp.Header)
+	if b.conn.r.Buffered() > 0 {
+		b.conn.transport.stats.unsolicited.Add(1)
+		return b.conn.Close()
+	}
+	if timeout <= 0 {
+		return b.conn.Close()
+	}
+	b.conn.exchanges++
+	b.conn.transport.putIdle(b.conn, timeout)
+	return nil
+}
+
+// requestWritten reports whether the request has been written by now. A body that is
+// written by its own goroutine counts once it is complete, but a request that send
+// wrote only in part before it failed counts as written as well.
+func (b *responseBody) requestWritten() bool {
+	if b.bodyWritten == nil {
+		return true
+	}
+	select {
+	case <-b.bodyWritten:
+		return true
+	default:
+		return false
+	}
+}
+
+// idleTimeout returns how long a connection may stay idle after a response with
+// this header, by its Keep-Alive field. 0 or less rules out reuse.
+func idleTimeout(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil {
+			return 0
+		}
+		return time.Duration(seconds)*time.Second - idleTimeoutMargin
+	}
+	return defaultIdleTimeout
+}
--- a/root/traffic/engine/http.go
+++ b/root/traffic/engine/http.go
@@ -1,16 +1,13 @@
 package engine
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
@@ -25,23 +22,10 @@
 	RanHeader = "Wagtaildyke-Ran"
 )
 
-// Limits on connections to and responses from backend servers. Of these, Transport
-// applies only dialTimeout, and ReadBody maxResponseBytes.
-const (
-	dialTimeout           = 1 * time.Second
-	idleConnTimeout       = 30 * time.Second
-	maxIdleConnsPerServer = 64
-	maxResponseBytes      = 32 << 20
-	maxHeaderBytes        = 64 << 10
-)
-
-// HTTPClient is a Client on top of net/http.
+// HTTPClient is a Client on top of a Transport.
 type HTTPClient struct {
-	shared *http.Client
-	// noReuse opens a new connection for each call: net/http retries a request
-	// only on a reused connection.
-	noReuse *http.Client
-	stats   counters
+	transport *Transport
+	stats     counters
 }
 
 type counters struct {
@@ -49,33 +33,15 @@
 }
 
 // NewHTTPClient returns an HTTPClient without connections.
-func NewHTTPClient() *HTTPClient {
-	return &HTTPClient{shared: newHTTPClient(false), noReuse: newHTTPClient(true)}
-}
-
-func newHTTPClient(disableKeepAlives bool) *http.Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerServer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
-}
+func NewHTTPClient() *HTTPClient { return &HTTPClient{transport: NewTransport()} }
 
 // Close closes idle connections.
-func (h *HTTPClient) Close() {
-	h.shared.CloseIdleConnections()
-	h.noReuse.CloseIdleConnections()
-}
+func (h *HTTPClient) Close() { h.transport.CloseIdle() }
 
 // Stats counts responses and events that were discarded.
 type Stats struct {
-	// Mismatched counts responses and events that carried another request's id.
+	// Mismatched counts responses and events that carried another request's id, and
+	// connections that were closed because bytes followed a complete response.
 	Mismatched uint64 `json:"crossed_answers"`
 	// Duplicate counts events that had already been received.
 	Duplicate uint64 `json:"late_events"`
@@ -83,55 +49,51 @@
 
 // Stats returns the counters.
 func (h *HTTPClient) Stats() Stats {
-	return Stats{Mismatched: h.stats.mismatched.Load(), Duplicate: h.stats.duplicate.Load()}
+	return Stats{
+		Mismatched: h.stats.mismatched.Load() + h.transport.Stats().Unsolicited,
+		Duplicate:  h.stats.duplicate.Load(),
+	}
 }
 
-// Do sends a call. A response that carries another request's id is discarded and
-// reported as an unknown outcome, since the call itself was sent.
+// Do sends a call. A response to another request is never returned: see
+// Transport.readHead.
 func (h *HTTPClient) Do(ctx context.Context, s fleet.Server, c Call) (Response, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), s, c)
+	address, req, err := newRequest(s, c)
 	if err != nil {
-		cancel()
 		return nil, &SendError{NotSent: true, Err: err}
 	}
-	resp, err := h.client(c).Do(req)
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := h.transport.Do(ctx, address, 0, req)
 	if err != nil {
 		cancel()
-		return nil, &SendError{NotSent: !connected.Load(), Err: err}
-	}
-	r := newHTTPResponse(h, c, resp, cancel)
-	if got := resp.Header.Get(RequestIDHeader); got != "" && got != c.RequestID {
-		h.stats.mismatched.Add(1)
-		r.Close()
-		return nil, &SendError{Err: fault.New(fault.OutcomeUnknown, part, "response from %s carries another request id", s.ID)}
-	}
-	return r, nil
-}
-
-func (h *HTTPClient) client(c Call) *http.Client {
-	if c.AtMostOnce {
-		return h.noReuse
+		return nil, err
 	}
-	return h.shared
+	return newHTTPResponse(h, c, resp, cancel), nil
 }
 
-func newRequest(ctx context.Context, s fleet.Server, c Call) (*http.Request, error) {
-	url := strings.TrimSuffix(s.Address, "/") + c.RequestTarget
-	req, err := http.NewRequestWithContext(ctx, c.Method, url, bytes.NewReader(c.Body))
+// newRequest returns the address of the server and the request for a call.
+func newRequest(s fleet.Server, c Call) (address string, req RawRequest, err error) {
+	base, err := url.Parse(strings.TrimSuffix(s.Address, "/"))
 	if err != nil {
-		return nil, err
+		return "", RawRequest{}, err
 	}
+	header := http.Header{}
 	for _, f := range c.Headers {
-		req.Header.Add(f.Name, f.Value)
+		header.Add(f.Name, f.Value)
 	}
-	req.Header.Set(RequestIDHeader, c.RequestID)
+	header.Set(RequestIDHeader, c.RequestID)
 	if c.ResumeAfter > 0 {
-		req.Header.Set(lastEventIDHeader, c.RequestID+"/"+strconv.Itoa(c.ResumeAfter))
+		header.Set(lastEventIDHeader, c.RequestID+"/"+strconv.Itoa(c.ResumeAfter))
+	}
+	address = base.Host
+	if base.Port() == "" {
+		address = net.JoinHostPort(base.Hostname(), "80")
 	}
-	return req, nil
+	return address, RawRequest{
+		Method: c.Method, RequestTarget: base.Path + c.RequestTarget, Host: base.Host, Header: header, Body: c.Body,
+		ID: c.RequestID, ResponseID: func(h http.Header) string { return h.Get(RequestIDHeader) },
+		NewConnection: c.AtMostOnce,
+	}, nil
 }
 
 // httpResponse implements Response.
@@ -171,16 +133,7 @@
 }
 
 // Body reads the whole body. A truncated or oversized body is an error.
-func (r *httpResponse) Body() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.BackendFailed, part, "read response body").WithRan(fault.RanYes)
-	}
-	if len(data) > maxResponseBytes {
-		return nil, fault.New(fault.BackendFailed, part, "response body exceeds %d bytes", maxResponseBytes).WithRan(fault.RanYes)
-	}
-	return data, nil
-}
+func (r *httpResponse) Body() ([]byte, error) { return r.client.transport.ReadBody(r.resp.Body) }
 
 // Next returns the next event in order. Events of another request and duplicate
 // events are discarded and counted; a gap in the numbers is an error.
@@ -227,6 +180,7 @@
 
 // Close cancels an unfinished request and releases the connection.
 func (r *httpResponse) Close() {
-	r.cancel()
+	// Before cancel, which closes the connection of a complete response too.
 	r.resp.Body.Close()
+	r.cancel()
 }
--- a/root/traffic/engine/transport.go
+++ b/root/traffic/engine/transport.go
@@ -2,24 +2,21 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/sockets"
 )
 
 // Limits on connections to backend servers.
 const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 1 * time.Second
 	// ackTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails (TCP_USER_TIMEOUT).
 	ackTimeout = 1500 * time.Millisecond
@@ -46,9 +43,14 @@
 	Host          string
 	Header        http.Header
 	Body          []byte
-	// MatchesResponse reports whether a response with this header belongs to the
-	// request; nil accepts any. Mismatched responses are read and discarded.
-	MatchesResponse func(http.Header) bool
+	// ID identifies the request, and ResponseID returns the id of the request that a
+	// response with the given header answers, or an empty string if it names none. With
+	// a nil ResponseID any response is accepted. See readHead.
+	ID         string
+	ResponseID func(http.Header) string
+	// NewConnection rules out idle connections, which the server may close just as the
+	// request arrives.
+	NewConnection bool
 }
 
 // Transport is a pool of HTTP/1.1 connections to backend servers. Unlike
@@ -61,6 +63,8 @@
 	// pools is keyed by address.
 	pools map[string]*connPool
 	stats transportCounters
+	// bodies counts the memory of the response bodies that are being read.
+	bodies bodyMemory
 }
 
 // connPool holds the connections to one address.
@@ -83,6 +87,8 @@
 	// closed because bytes had followed a complete response by the time its body was
 	// closed. Bytes that arrive on an idle connection are not counted.
 	Unsolicited uint64 `json:"unasked_bytes"`
+	// BodyBytes is the memory reserved for response bodies that are being read.
+	BodyBytes int64 `json:"body_bytes"`
 }
 
 // NewTransport returns a transport without connections.
@@ -92,7 +98,7 @@
 
 // Stats returns the counters.
 func (t *Transport) Stats() TransportStats {
-	return TransportStats{t.stats.opened.Load(), t.stats.reused.Load(), t.stats.unsolicited.Load()}
+	return TransportStats{t.stats.opened.Load(), t.stats.reused.Load(), t.stats.unsolicited.Load(), t.bodies.used.Load()}
 }
 
 // conn is a pooled connection. It carries one request at a time: requests are not
@@ -104,6 +110,13 @@
 	r         *bufio.Reader
 	idleUntil time.Time
 	closed    atomic.Bool
+	// limit bounds the size of heads that r reads.
+	limit *limitedReader
+	// exchanges counts the responses received before the current one.
+	exchanges int
+	// unidentified is set by a response without an id. A later one could then not be
+	// told from a late copy of it.
+	unidentified bool
 }
 
 // Close closes the connection and removes it from the count of open ones. Further
@@ -125,7 +138,7 @@
 // address; 0 means no limit. If ctx ends before the body is closed, the connection
 // is closed. The error is a *SendError.
 func (t *Transport) Do(ctx context.Context, address string, maxConns int, req RawRequest) (*http.Response, error) {
-	c, err := t.getConn(ctx, address, maxConns)
+	c, err := t.getConn(ctx, address, maxConns, req.NewConnection)
 	if err != nil {
 		return nil, &SendError{NotSent: true, Err: err}
 	}
@@ -146,11 +159,11 @@
 	return resp, nil
 }
 
-// getConn returns a usable idle connection or a new one. An idle connection is
-// usable until its idle timeout, as long as the server has neither sent bytes nor
-// closed it.
-func (t *Transport) getConn(ctx context.Context, address string, maxConns int) (*conn, error) {
-	for {
+// getConn returns a usable idle connection, unless fresh is set, or a new one. An idle
+// connection is usable until its idle timeout, as long as the server has neither sent
+// bytes nor closed it.
+func (t *Transport) getConn(ctx context.Context, address string, maxConns int, fresh bool) (*conn, error) {
+	for !fresh {
 		c := t.popIdle(address)
 		if c == nil {
 			break
@@ -205,7 +218,8 @@
 		return nil, err
 	}
 	t.stats.opened.Add(1)
-	return &conn{Conn: raw, transport: t, address: address, r: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	limit := &limitedReader{r: raw}
+	return &conn{Conn: raw, transport: t, address: address, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize)}, nil
 }
 
 // putIdle returns a connection to its pool, to be reused within timeout, and closes
@@ -252,162 +266,3 @@
 		c.Close()
 	}
 }
-
-// writeResult is the progress of writing a request.
-type writeResult struct {
-	// n is the number of bytes written before send returned.
-	n   int
-	err error
-	// bodyWritten is closed once the body is written completely; it is nil if send
-	// wrote the whole request or failed.
-	bodyWritten <-chan struct{}
-}
-
-// send writes a request. A large body is written by its own goroutine while the
-// response is read, since a server may respond before it has read the body.
-func (c *conn) send(req RawRequest) writeResult {
-	head := req.encodeHead()
-	if len(req.Body) <= maxInlineBody {
-		n, err := c.Write(append(head, req.Body...))
-		return writeResult{n: n, err: err}
-	}
-	n, err := c.Write(head)
-	if err != nil {
-		return writeResult{n: n, err: err}
-	}
-	bodyWritten := make(chan struct{})
-	go func() {
-		if _, err := c.Write(req.Body); err != nil {
-			// The reader of the response reports the failure. bodyWritten stays
-			// open, so the connection is not reused.
-			return
-		}
-		close(bodyWritten)
-	}()
-	return writeResult{n: n, bodyWritten: bodyWritten}
-}
-
-// encodeHead encodes the request line and the header fields. An empty body has a
-// Content-Length only if the method is neither GET nor HEAD.
-func (r *RawRequest) encodeHead() []byte {
-	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// Writes to a bytes.Buffer don't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-// readHead reads the head of the response, whose size is not limited. It skips
-// interim (1xx) responses, and mismatched responses together with their bodies.
-func (c *conn) readHead(req RawRequest) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: req.Method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		if req.MatchesResponse == nil || req.MatchesResponse(resp.Header) {
-			return resp, nil
-		}
-		c.transport.stats.unsolicited.Add(1)
-		if _, err := ReadBody(resp.Body); err != nil || resp.Close {
-			return nil, fault.New(fault.OutcomeUnknown, part, "connection is unusable after a response to another request")
-		}
-	}
-}
-
-// responseBody returns its connection to the pool when the exchange is complete.
-type responseBody struct {
-	io.ReadCloser
-	conn *conn
-	// stop ends the watch on the context; it reports false if the context ended
-	// first.
-	stop func() bool
-	resp *http.Response
-	// bodyWritten is that of the request's writeResult.
-	bodyWritten <-chan struct{}
-	// complete is set once the response was read to its end.
-	complete bool
-}
-
-// Read implements io.Reader and records the end of the body.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.complete = true
-	}
-	return n, err
-}
-
-// Close ends the exchange. The connection is reused only if the response was read
-// completely, requestWritten reports true, the server keeps the connection open, and
-// no further bytes have arrived on it; otherwise it is closed. Close must be called
-// only once: a second call closes the connection, which may carry another request by
-// then.
-func (b *responseBody) Close() error {
-	active := b.stop()
-	if !active || !b.complete || b.resp.Close || !b.requestWritten() {
-		return b.conn.Close()
-	}
-	timeout := idleTimeout(b.resp.Header)
-	if b.conn.r.Buffered() > 0 {
-		b.conn.transport.stats.unsolicited.Add(1)
-		return b.conn.Close()
-	}
-	if timeout <= 0 {
-		return b.conn.Close()
-	}
-	b.conn.transport.putIdle(b.conn, timeout)
-	return nil
-}
-
-// requestWritten reports whether the request has been written by now. A body that is
-// written by its own goroutine counts once it is complete, but a request that send
-// wrote only in part before it failed counts as written as well.
-func (b *responseBody) requestWritten() bool {
-	if b.bodyWritten == nil {
-		return true
-	}
-	select {
-	case <-b.bodyWritten:
-		return true
-	default:
-		return false
-	}
-}
-
-// idleTimeout returns how long a connection may stay idle after a response with
-// this header, by its Keep-Alive field. 0 or less rules out reuse.
-func idleTimeout(h http.Header) time.Duration {
-	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err != nil {
-			return 0
-		}
-		return time.Duration(seconds)*time.Second - idleTimeoutMargin
-	}
-	return defaultIdleTimeout
-}
-
-// ReadBody reads a whole body. A truncated body, or one of more than
-// maxResponseBytes, is an error.
-func ReadBody(r io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.BackendFailed, part, "read response body").WithRan(fault.RanYes)
-	}
-	if len(data) > maxResponseBytes {
-		return nil, fault.New(fault.BackendFailed, part, "response body exceeds %d bytes", maxResponseBytes).WithRan(fault.RanYes)
-	}
-	return data, nil
-}
