--- a/root/peers/frame.go
+++ b/root/peers/frame.go
@@ -26,14 +26,18 @@
 	return err
 }
 
-// readFrame reads one frame. The buffer of a large frame grows with the received
-// data, so that a wrong length prefix alone can't allocate memory.
-func readFrame(r *bufio.Reader) ([]byte, error) {
+// maxHelloBytes bounds the first frame of a stream, before its sender is known to be a
+// process of this cluster.
+const maxHelloBytes = 4 << 10
+
+// readFrame reads one frame of at most limit bytes. The buffer of a large frame grows with
+// the received data, so that a wrong length prefix alone can't allocate memory.
+func readFrame(r *bufio.Reader, limit uint64) ([]byte, error) {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
 	}
-	if n > maxFrameBytes {
+	if n > limit {
 		return nil, fault.New(fault.TooLarge, part, "frame of %d bytes", n)
 	}
 	if n <= uint64(r.Size()) {
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -127,7 +127,7 @@
 		return nil, codec.Hello{}, err
 	}
 	st := newStream(conn, below)
-	response, err := readFrame(st.r)
+	response, err := readFrame(st.r, maxHelloBytes)
 	if err != nil {
 		return nil, codec.Hello{}, err
 	}
@@ -203,7 +203,7 @@
 
 func readLoop(st *stream, deliver func([]byte)) error {
 	for {
-		frame, err := readFrame(st.r)
+		frame, err := readFrame(st.r, maxFrameBytes)
 		if err != nil {
 			return err
 		}
--- a/root/platform.go
+++ b/root/platform.go
@@ -120,6 +120,7 @@
 func (p *Process) newIngress(r *relay.Relay, node *supervise.Node) http.Handler {
 	return platform.NewIngress(platform.IngressOptions{
 		Relay:        r,
+		BodyTimeout:  settings.Millis(p.settings.Limits.BodyTimeoutMillis),
 		WriteTimeout: settings.Millis(p.settings.Limits.WriteTimeoutMillis),
 		ResponseSent: p.metrics.ObserveResponse,
 		Log:          node.Log().WithName("frontdoor"),
@@ -144,15 +145,19 @@
 
 // drainPlatform takes the process out of service within the platform's grace period.
 // The listener stays open until drainReserve before its end, because callers may still
-// use a cached address. The rest takes up to drainReserve less addressAgeMargin, which
-// is 1.7 s, also when the grace period is shorter.
+// use a cached address. In the second half of that time responses close their
+// connections, so that callers move on. The rest takes up to drainReserve less
+// addressAgeMargin, which is 1.7 s, also when the grace period is shorter.
 func (p *Process) drainPlatform(ended <-chan struct{}) error {
 	p.log.Info("stopping: withdrawing from the directory, reporting not ready")
 	p.post(machine.Stop{Phase: machine.StopLeaving})
 	var err error
 	if p.routed != nil {
 		grace := settings.Seconds(p.settings.Platform.GracePeriodSeconds)
-		wait(max(0, grace-drainReserve), ended, nil)
+		open := max(0, grace-drainReserve)
+		wait(open/2, ended, nil)
+		p.routed.Server.CloseAfterResponses()
+		wait(open/2, ended, nil)
 		err = p.drainRouted(drainReserve - handoverDelay - addressAgeMargin)
 	}
 	p.post(machine.Stop{Phase: machine.StopDone})
--- a/root/traffic/frontdoor/server.go
+++ b/root/traffic/frontdoor/server.go
@@ -5,9 +5,20 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
+const (
+	// acceptQueuedTime is how long Drain accepts the connections that are queued.
+	acceptQueuedTime = 50 * time.Millisecond
+	// firstRequestTime is how long Drain waits for the first request on a new connection,
+	// and for a request that crosses the response before it.
+	firstRequestTime = 100 * time.Millisecond
+	// drainInterval is the time between two looks at the open connections in Drain.
+	drainInterval = 10 * time.Millisecond
+)
+
 // ServerOptions are limits on connections.
 type ServerOptions struct {
 	MaxHeaderBytes int
@@ -17,21 +28,35 @@
 
 // Server is an HTTP server that runs as a supervised service.
 type Server struct {
-	listener net.Listener
-	server   *http.Server
+	listener    *drainingListener
+	server      *http.Server
+	connections *connections
+	// closing is set once responses tell clients to open another connection.
+	closing atomic.Bool
 }
 
 // NewServer returns a Server that accepts connections from listener.
 func NewServer(listener net.Listener, h http.Handler, o ServerOptions) *Server {
-	return &Server{
-		listener: listener,
-		server: &http.Server{
-			Handler:           h,
-			MaxHeaderBytes:    o.MaxHeaderBytes,
-			ReadHeaderTimeout: o.HeaderTimeout,
-			IdleTimeout:       o.IdleTimeout,
-		},
+	s := &Server{listener: &drainingListener{Listener: listener}, connections: newConnections()}
+	s.server = &http.Server{
+		Handler:           s.announceClose(h),
+		MaxHeaderBytes:    o.MaxHeaderBytes,
+		ReadHeaderTimeout: o.HeaderTimeout,
+		IdleTimeout:       o.IdleTimeout,
+		ConnState:         s.connections.observe,
 	}
+	return s
+}
+
+// announceClose adds Connection: close to the responses of a server that closes its
+// connections.
+func (s *Server) announceClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Serve accepts connections until ctx ends or the listener fails. After Drain it
@@ -40,13 +65,37 @@
 	stop := context.AfterFunc(ctx, func() { s.server.Close() })
 	defer stop()
 	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.listener.draining.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	return err
 }
 
-// Drain closes the listener and waits for in-flight requests until ctx ends. It
-// returns an error if requests are left then.
-func (s *Server) Drain(ctx context.Context) error { return s.server.Shutdown(ctx) }
+// CloseAfterResponses makes each further response close its connection, so that callers
+// open the next one elsewhere.
+func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
+
+// Drain accepts the queued connections, closes the listener, and waits until the requests
+// that have arrived on open connections are answered or ctx ends. It closes a connection
+// once it carries no request. It returns an error if connections are left when ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.CloseAfterResponses()
+	s.listener.acceptQueued(acceptQueuedTime)
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	accepting := time.NewTimer(2 * acceptQueuedTime)
+	defer accepting.Stop()
+	select {
+	case <-accepting.C:
+	case <-ctx.Done():
+	}
+	for s.connections.closeQuiet(firstRequestTime) > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/root/traffic/frontdoor/server_test.go
@@ -0,0 +1,142 @@
+package frontdoor_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+)
+
+const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// startServer serves requests that take a moment, and returns the server and its address.
+func startServer(c *qt.C) (*frontdoor.Server, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	s := frontdoor.NewServer(ln, h, frontdoor.ServerOptions{MaxHeaderBytes: 16 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(ctx)
+	}()
+	c.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s, ln.Addr().String()
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dialCallers(c *qt.C, address string, n int) []*caller {
+	var out []*caller
+	for range n {
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { conn.Close() })
+		out = append(out, &caller{conn, bufio.NewReader(conn)})
+	}
+	return out
+}
+
+func sendAll(c *qt.C, callers []*caller) {
+	for _, conn := range callers {
+		_, err := io.WriteString(conn, plainRequest)
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+// countResponses reads one response from each caller and returns how many are whole, and
+// how many of these announce that the connection closes.
+func countResponses(callers []*caller) (whole, closing int) {
+	for _, conn := range callers {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(conn.r, nil)
+		if err != nil {
+			continue
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil && string(body) == "ok" {
+			whole++
+		}
+		if resp.Close {
+			closing++
+		}
+	}
+	return whole, closing
+}
+
+// TestDrainAnswersRequestsThatHaveArrived drains a server right after requests have
+// arrived: on idle connections and on connections that are not accepted yet. All of them
+// must be answered.
+func TestDrainAnswersRequestsThatHaveArrived(t *testing.T) {
+	c := qt.New(t)
+	const connections = 200
+	s, address := startServer(c)
+	idle := dialCallers(c, address, connections)
+	sendAll(c, idle)
+	whole, _ := countResponses(idle)
+	c.Assert(whole, qt.Equals, connections)
+
+	sendAll(c, idle)
+	fresh := dialCallers(c, address, connections)
+	sendAll(c, fresh)
+	var drained sync.WaitGroup
+	drained.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		c.Check(s.Drain(ctx), qt.IsNil)
+	})
+	whole, _ = countResponses(idle)
+	c.Check(whole, qt.Equals, connections, qt.Commentf("on idle connections"))
+	whole, closing := countResponses(fresh)
+	c.Check(whole, qt.Equals, connections, qt.Commentf("on new connections"))
+	c.Check(closing > 0, qt.IsTrue)
+	drained.Wait()
+	_, err := net.Dial("tcp", address)
+	c.Check(err, qt.IsNotNil)
+}
+
+// TestDrainEndsWithSilentConnections drains a server that has a connection without a
+// request and an idle one. Neither may hold it up.
+func TestDrainEndsWithSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	s, address := startServer(c)
+	callers := dialCallers(c, address, 2)
+	sendAll(c, callers[:1])
+	whole, _ := countResponses(callers[:1])
+	c.Assert(whole, qt.Equals, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	c.Assert(s.Drain(ctx), qt.IsNil)
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
+
+// TestDrainReportsRequestsThatAreLeft drains a server whose handler takes longer than the
+// limit.
+func TestDrainReportsRequestsThatAreLeft(t *testing.T) {
+	c := qt.New(t)
+	s, address := startServer(c)
+	callers := dialCallers(c, address, 1)
+	sendAll(c, callers)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	c.Assert(s.Drain(ctx), qt.ErrorIs, context.DeadlineExceeded)
+}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -60,6 +60,26 @@
 	return sockoptErr
 }
 
+// HasData reports whether a connection has received data that was not read yet. It
+// neither blocks nor reads. It is false for a connection that is not TCP.
+func HasData(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	hasData := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		hasData = peekErr == nil && n > 0
+	})
+	return err == nil && hasData
+}
+
 // Reusable reports whether an idle connection is open and has received no
 // unsolicited data. It does not block. A connection that is not TCP is assumed to be
 // reusable. Received data is lost to later reads, so such a connection must be closed.
