--- a/root/control/machine/order_resend_test.go
+++ b/root/control/machine/order_resend_test.go
@@ -143,3 +143,36 @@
 	c.Assert(sim.executedOrders, qt.Equals, 1)
 	c.Assert(sim.engine.role, qt.Equals, fleet.Prefill)
 }
+
+// TestOldOrderOwnerStaysAliveThroughAHandover cuts a leader off right after it has sent an
+// order, which the engine carries out late. Both leaders are alive and reach the engine.
+// The successor gets the same request and another one; the engine must see the first
+// order once, and no order may run out of turn.
+func TestOldOrderOwnerStaysAliveThroughAHandover(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		sim := newSimulation(seed, machine.RuleNone)
+		old := sim.waitForLeader()
+		sim.runWithEngine(2 * time.Second)
+		request := proposedRoleChange(7777, fleet.Prefill)
+		old.step(machine.Received{From: "vm-5", Message: request})
+		for i := 0; i < 4000 && len(old.pendingOrders) == 0; i++ {
+			if i%20 == 0 {
+				sim.reportAll()
+			}
+			sim.advance()
+		}
+		c.Assert(old.pendingOrders, qt.HasLen, 1)
+		old.pendingOrders[0].at = sim.now.Add(6 * time.Second)
+		old.isolated = true
+		next := sim.nextLeader(old)
+		next.step(machine.Received{From: "vm-5", Message: request})
+		next.step(machine.Received{From: "vm-4", Message: proposedRoleChange(1, fleet.Decode)})
+		sim.runWithEngine(10 * time.Second)
+		old.isolated = false
+		sim.runWithEngine(20 * time.Second)
+		c.Assert(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+		c.Assert(sim.executedOrders, qt.Equals, 1, qt.Commentf("seed %d", seed))
+		c.Assert(sim.engine.role, qt.Equals, fleet.Prefill, qt.Commentf("seed %d", seed))
+	}
+}
