--- a/api/codec/update.go
+++ b/api/codec/update.go
@@ -12,9 +12,9 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
-// encodedUpdates remembers the updates encoded last: most lease holders have the
-// same view in force and are pushed the same update.
-var encodedUpdates = newEncodings[view.Update](4)
+// encodedUpdates remembers the updates encoded last: most lease holders have one of a few
+// views in force, and those with the same one are sent the same update.
+var encodedUpdates = newEncodings[view.Update](16)
 
 // fromUpdate returns the encoded update; nil for nil. Ages of reports are as of
 // the first call.
--- a/root/control/ledger/settle.go
+++ b/root/control/ledger/settle.go
@@ -103,7 +103,7 @@
 	if err := l.CheckAbandon(a); err != nil {
 		return 0, err
 	}
-	if a.Incarnation <= l.dead[a.Entry] {
+	if l.IsDead(a.Entry, a.Incarnation) {
 		return 0, nil
 	}
 	l.dead[a.Entry] = a.Incarnation
@@ -114,6 +114,10 @@
 	return len(keys), nil
 }
 
+// IsDead reports whether the given incarnation of an entry's process is known to be dead.
+// Abandon has no effect then.
+func (l *Ledger) IsDead(entry string, incarnation uint64) bool { return incarnation <= l.dead[entry] }
+
 // CheckAbandon returns the error that Abandon would return.
 func (l *Ledger) CheckAbandon(a Abandon) *fault.Error {
 	if err := a.check(); err != nil {
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -26,10 +26,14 @@
 	views         *view.ChangeTracker
 	holders       map[string]*leaseHolder
 	// leavingSeq holds, per leaving VM, the sequence of the first view that shows
-	// it as leaving. A VM is deleted when its process reports that it has stopped or a
-	// later process of the VM renews. A VM that the fleet removes by timeout stays
-	// here for the rest of the term.
+	// it as leaving. A VM is deleted when its process reports that it has stopped, a
+	// later process of the VM renews, or the fleet removes the VM by timeout.
 	leavingSeq map[string]uint64
+	// restarted holds the incarnation of each VM whose earlier processes are to be
+	// abandoned at the next sweep, together: after a change of leader every VM is new to
+	// the leader, and a log entry each at its first Renew would keep the leader from its
+	// heartbeats.
+	restarted map[string]uint64
 	// proposers holds the proposer of each uncommitted command by log index.
 	proposers      map[uint64]proposer
 	pendingChanges []pendingChange
@@ -62,6 +66,7 @@
 		views:          view.NewChangeTracker(term),
 		holders:        map[string]*leaseHolder{},
 		leavingSeq:     map[string]uint64{},
+		restarted:      map[string]uint64{},
 		proposers:      map[uint64]proposer{},
 		reads:          map[uint64]proposer{},
 		nextSweep:      m.now.Add(m.cfg.Timing.SweepInterval),
@@ -177,7 +182,7 @@
 	}
 	if h := l.holders[from]; h == nil || h.vm.Incarnation < msg.VM.Incarnation {
 		delete(l.leavingSeq, from)
-		l.abandonEarlierIncarnations(msg.VM)
+		l.restarted[from] = msg.VM.Incarnation
 	}
 	if msg.Stopped {
 		l.removeStopped(from)
@@ -201,10 +206,26 @@
 	l.orders.advance()
 }
 
-// abandonEarlierIncarnations abandons the open work of earlier processes of a VM.
-// They have ended, so the outcome of the work they sent is unknown.
-func (l *leader) abandonEarlierIncarnations(vm fleet.VM) {
-	l.propose(replicated.AbandonWork{Abandon: ledger.Abandon{Entry: vm.ID, Incarnation: vm.Incarnation - 1}}, proposer{})
+// abandonEarlierIncarnations abandons the open work of earlier processes of the VMs that
+// have renewed with a new incarnation. Those processes have ended, so the outcome of the
+// work they sent is unknown.
+func (l *leader) abandonEarlierIncarnations() {
+	for _, vm := range sortedKeys(l.restarted) {
+		abandon := ledger.Abandon{Entry: vm, Incarnation: l.restarted[vm] - 1}
+		if !l.r.state.Ledger().IsDead(abandon.Entry, abandon.Incarnation) {
+			l.propose(replicated.AbandonWork{Abandon: abandon}, proposer{})
+		}
+	}
+	clear(l.restarted)
+}
+
+// forgetRemoved forgets the leaving VMs that the fleet has removed.
+func (l *leader) forgetRemoved() {
+	for vm := range l.leavingSeq {
+		if _, known := l.fleet.VM(vm); !known {
+			delete(l.leavingSeq, vm)
+		}
+	}
 }
 
 func (l *leader) tick() {
@@ -219,7 +240,9 @@
 	l.endPartialView()
 	l.removeUnresponsiveReplica()
 	l.recordFleet()
+	l.abandonEarlierIncarnations()
 	if l.fleet.Expire(now) {
+		l.forgetRemoved()
 		l.pushView()
 	}
 	l.removeExpiredHolders()
--- a/root/control/machine/lease_holders.go
+++ b/root/control/machine/lease_holders.go
@@ -29,8 +29,6 @@
 // needsConfirmation reports whether the holder should confirm the current view at
 // once, because a table change or a leaving VM waits for it. Other updates need no
 // early Renew: in a large fleet those would cost the leader as much as the updates.
-// A VM that timed out while leaving stays in leavingSeq, so every later push of the
-// term asks all holders to confirm.
 func (l *leader) needsConfirmation(h *leaseHolder) bool {
 	return len(l.leavingSeq) > 0 || h.tableVersion < l.currentTable().Version
 }
--- a/root/control/view/tracker.go
+++ b/root/control/view/tracker.go
@@ -36,6 +36,9 @@
 	// deltas caches the deltas to the current document by the version they start
 	// from, because many receivers have the same version.
 	deltas map[uint64]*routes.Delta
+	// updates caches the updates to the current view by the versions they start from,
+	// because many receivers have the same ones and an update is encoded once.
+	updates map[Versions]*Update
 	// partial is set while members may be missing from the view.
 	partial bool
 	removed []removal
@@ -93,6 +96,9 @@
 		c.compactedSeq = c.current.Seq
 		c.current = &next
 	}
+	if c.partial != partial {
+		c.updates = nil
+	}
 	c.partial = partial
 }
 
@@ -116,6 +122,7 @@
 	changed = recordChanges(c, c.vms, c.current.VMs, vms, vmType) || changed
 	if changed {
 		c.current = next
+		c.updates = nil
 	}
 	return changed
 }
@@ -215,7 +222,19 @@
 
 // Since returns the update that brings a receiver to the current view. It is a
 // full update when the receiver has no view of this term or one that is too old.
+// Receivers with the same versions share the update, which must not be modified.
 func (c *ChangeTracker) Since(have Versions) *Update {
+	if u := c.updates[have]; u != nil {
+		return u
+	}
+	if c.updates == nil {
+		c.updates = map[Versions]*Update{}
+	}
+	c.updates[have] = c.since(have)
+	return c.updates[have]
+}
+
+func (c *ChangeTracker) since(have Versions) *Update {
 	if have.Seq == 0 || have.Seq <= c.compactedSeq || have.Seq > c.current.Seq {
 		u := FullUpdate(c.current)
 		u.Partial = c.partial
