--- a/root/control/ledger/settle.go
+++ b/root/control/ledger/settle.go
@@ -9,9 +9,9 @@
 // Finish settles the open attempt of a key. A repeated Finish returns the
 // outcome of the first one, or Unreplayable once its response has expired. For a
 // generated key, whose response is not kept, it does so for ClosedRetention and fails
-// after that. An error leaves the
-// ledger unchanged. Its kind is fault.Invalid, fault.NotFound for a key without a
-// record, or fault.Conflict for an attempt other than that of the record.
+// after that. An error leaves the ledger unchanged. Its kind is fault.Invalid,
+// fault.NotFound for a key without a record, or fault.Conflict for an attempt other
+// than that of the record.
 func (l *Ledger) Finish(f Finish, now int64) (Outcome, *fault.Error) {
 	if err := f.check(); err != nil {
 		return Outcome{}, err
--- a/root/control/replicated/command.go
+++ b/root/control/replicated/command.go
@@ -43,7 +43,7 @@
 
 // ConfirmDead records an operator's confirmation that a process has ended. If it
 // names no server, it also abandons the open work of that process. If the ledger
-// refuses that, the confirmation stays recorded (see Result.Authority).
+// refuses that, nothing is recorded.
 type ConfirmDead struct{ authority.ConfirmDead }
 
 // RecordOrder records a new order and requests a fencing token for it.
--- a/root/control/table/csv.go
+++ b/root/control/table/csv.go
@@ -28,8 +28,8 @@
 const byteOrderMark = "\ufeff"
 
 // ParseCSV reads and validates a table. The columns may be in any order. Empty lines
-// are skipped, but count as rows in errors, as in a spreadsheet. Reading stops at malformed CSV, after a header
-// with invalid columns and after MaxClasses+1 rows.
+// are skipped, but count as rows in errors, as in a spreadsheet. Reading stops at
+// malformed CSV, after a header with invalid columns and after MaxClasses+1 rows.
 //
 // The error has kind fault.TooLarge if more than MaxCSVBytes had to be read, unless
 // reading stopped at a header with invalid columns. Otherwise it has kind
--- a/root/traffic/frontdoor/server.go
+++ b/root/traffic/frontdoor/server.go
@@ -84,10 +84,11 @@
 	s.listener.acceptQueued(acceptQueuedTime)
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
-	accepting := time.NewTimer(2 * acceptQueuedTime)
-	defer accepting.Stop()
+	// By then the listener is closed, and every accepted connection is known.
+	accepted := time.NewTimer(2 * acceptQueuedTime)
+	defer accepted.Stop()
 	select {
-	case <-accepting.C:
+	case <-accepted.C:
 	case <-ctx.Done():
 	}
 	for s.connections.closeQuiet(firstRequestTime) > 0 {
