--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,6 +69,8 @@
 	maxInterimResponses = 16
 	// maxLateResponses bounds the late responses to earlier requests.
 	maxLateResponses = 8
+	// maxAnsweredIDs bounds the ids by which late responses are recognized.
+	maxAnsweredIDs = 16
 )
 
 var errHeadTooLarge = errors.New("response head is too large")
@@ -93,12 +96,12 @@
 }
 
 // readHead reads the head of the response to the request. It skips interim (1xx)
-// responses and, on a connection that carried earlier requests, late responses to them
-// together with their bodies.
+// responses, and late copies of earlier responses on the connection with their bodies.
 //
 // A response without an id is accepted on a new connection only, which then isn't
-// reused: on a reused one it may be a late copy of an earlier response. A response to
-// another request on a new connection means that the server mixes up its responses.
+// reused: on a reused one it may be a late copy of an earlier response. A response to a
+// request that was never sent on the connection means that the server mixes up its
+// responses, and that the right one need not follow.
 func (c *conn) readHead(req RawRequest) (*http.Response, error) {
 	late := 0
 	for {
@@ -112,10 +115,10 @@
 		switch id := req.ResponseID(resp.Header); {
 		case id == req.ID:
 			return resp, nil
-		case id == "" && c.exchanges == 0:
+		case id == "" && len(c.answered) == 0:
 			c.unidentified = true
 			return resp, nil
-		case id == "" || c.exchanges == 0 || late == maxLateResponses:
+		case !slices.Contains(c.answered, id) || late == maxLateResponses:
 			c.transport.stats.unsolicited.Add(1)
 			return nil, fault.New(fault.OutcomeUnknown, part, "the server responded to another request")
 		}
@@ -140,6 +143,14 @@
 	return nil, fault.New(fault.OutcomeUnknown, part, "more than %d interim responses", maxInterimResponses)
 }
 
+// addAnswered records that the current request was answered.
+func (c *conn) addAnswered() {
+	c.answered = append(c.answered, c.requestID)
+	if len(c.answered) > maxAnsweredIDs {
+		c.answered = slices.Delete(c.answered, 0, 1)
+	}
+}
+
 // responseBody returns its connection to the pool when the exchange is complete.
 type responseBody struct {
 	io.ReadCloser
@@ -181,7 +192,7 @@
 	if timeout <= 0 {
 		return b.conn.Close()
 	}
-	b.conn.exchanges++
+	b.conn.addAnswered()
 	b.conn.transport.putIdle(b.conn, timeout)
 	return nil
 }
--- a/root/traffic/engine/late_test.go
+++ b/root/traffic/engine/late_test.go
@@ -108,6 +108,7 @@
 	for name, responses := range map[string][]string{
 		"without an id on a reused connection":     {response("one", "first"), response("", "unidentified")},
 		"to another request on a new connection":   {response("other", "crossed")},
+		"to one never sent on a reused connection": {response("one", "first"), response("other", "crossed")},
 		"endless ones on a reused connection":      {response("one", "first"), strings.Repeat(response("one", "again"), 1000)},
 		"endless interim ones on a new connection": {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100_000)},
 	} {
--- a/root/traffic/engine/transport.go
+++ b/root/traffic/engine/transport.go
@@ -112,11 +112,14 @@
 	closed    atomic.Bool
 	// limit bounds the size of heads that r reads.
 	limit *limitedReader
-	// exchanges counts the responses received before the current one.
-	exchanges int
+	// answered holds the ids of the latest requests that were answered on the connection,
+	// newest last.
+	answered []string
 	// unidentified is set by a response without an id. A later one could then not be
 	// told from a late copy of it.
 	unidentified bool
+	// requestID is the id of the current request.
+	requestID string
 }
 
 // Close closes the connection and removes it from the count of open ones. Further
@@ -142,6 +145,7 @@
 	if err != nil {
 		return nil, &SendError{NotSent: true, Err: err}
 	}
+	c.requestID = req.ID
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.send(req)
 	if written.err != nil && written.n == 0 {
