--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -200,7 +200,7 @@
 	}
 	route, found := v.Routes.Match(req.Host, req.Path)
 	if !found {
-		return nil, nil, 0, errNoRoute(req)
+		return nil, nil, 0, errNoRoute(req, v)
 	}
 	service, _ := v.Routes.Service(route.PickService(r.Random()))
 	return route, service, v.Routes.Version, nil
