--- a/root/traffic/relay/errors.go
+++ b/root/traffic/relay/errors.go
@@ -10,7 +10,7 @@
 
 const (
 	// noRoutesRetry is the suggested delay before a retry while this process has no
-	// routes. A process that joins the fleet receives them with one of its first two
+	// routes, or none that a leader vouches for. A process that joins the fleet receives them with one of its first two
 	// renewals of the view lease, usually within this time.
 	noRoutesRetry = 500 * time.Millisecond
 	// defaultRetry is the suggested delay before a retry of a request that did not run
@@ -23,11 +23,20 @@
 	return fault.New(fault.NotReady, part, "no routes received yet").WithRetryAfter(noRoutesRetry)
 }
 
-// errNoRoute is the error for a request that matches no route of the view. It tells how
-// current the view is, since a newer one may have the route.
+// errNoRoute is the error for a request that matches no route of the view. Only a view
+// with a live lease shows that there is no such route.
 func errNoRoute(req *Request, v *view.View) *fault.Error {
-	return fault.New(fault.NotFound, part, "no route of version %d matches %s%s; view %d/%d, lease left %s",
-		v.Routes.Version, req.Host, req.Path, v.Term, v.Seq, time.Until(v.LeaseUntil).Round(time.Millisecond))
+	now := time.Now()
+	kind := fault.NotFound
+	if !v.Leased(now) {
+		kind = fault.NotReady
+	}
+	err := fault.New(kind, part, "no route of version %d matches %s%s; view %d/%d, lease left %s",
+		v.Routes.Version, req.Host, req.Path, v.Term, v.Seq, v.LeaseUntil.Sub(now).Round(time.Millisecond))
+	if kind == fault.NotReady {
+		return err.WithRetryAfter(noRoutesRetry)
+	}
+	return err
 }
 
 // errBudgetExhausted is the cause of the errors of errRetryBudget.
