--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -48,6 +48,8 @@
 	// NotRun is set when the backend server states that it did not execute the
 	// request.
 	NotRun bool
+	// Leaving is set when the backend server states that it is shutting down.
+	Leaving bool
 }
 
 // Event is one server-sent event of a response.
--- /dev/null
+++ b/root/traffic/placement/notice_test.go
@@ -0,0 +1,97 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+)
+
+var leaving = placement.Notice{Leaving: true}
+
+// TestViewsReturnNoLeavingServer checks that a server that said that it is leaving gets
+// no request before it has restarted, whatever later views show.
+func TestViewsReturnNoLeavingServer(t *testing.T) {
+	c := qt.New(t)
+	one, two := plain("one", "a"), plain("two", "b")
+	s := stateOf("vm-0", 1, viewOf(1, one, two))
+	run := mustPlace(c, s, start, placement.Request{Service: "plain"})
+	c.Assert(run.Server().ID, qt.Equals, "one")
+	run.Observe(start, leaving)
+	run.End(start, placement.Result{Outcome: placement.Answered})
+
+	now := start
+	placed := func() string {
+		now = now.Add(time.Second)
+		run := mustPlace(c, s, now, placement.Request{Service: "plain"})
+		run.End(now, placement.Result{Outcome: placement.Answered})
+		return run.Server().ID
+	}
+	c.Assert(placed(), qt.Equals, "two")
+	one.Sequence = 2
+	s.SetView(viewOf(1, one, two))
+	c.Assert(placed(), qt.Equals, "two")
+	s.SetView(viewOf(1, two))
+	c.Assert(placed(), qt.Equals, "two")
+	one.Sequence = 3
+	s.SetView(viewOf(1, one, two))
+	c.Assert(placed(), qt.Equals, "two")
+	one.Incarnation = 2
+	s.SetView(viewOf(1, one, two))
+	c.Assert(placed(), qt.Equals, "one")
+}
+
+// TestNoticeOfAnEndedIncarnationIsIgnored ends a request to a server that has restarted
+// since. Its late response says nothing about the new incarnation.
+func TestNoticeOfAnEndedIncarnationIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	one := plain("one", "a")
+	s := stateOf("vm-0", 1, viewOf(1, one))
+	run := mustPlace(c, s, start, placement.Request{Service: "plain"})
+	one.Incarnation = 2
+	s.SetView(viewOf(1, one))
+	run.Observe(start, leaving)
+	mustPlace(c, s, start, placement.Request{Service: "plain"})
+}
+
+func TestRequestsAreRefusedWhenAllServersAreLeaving(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(1, plain("one", "a")))
+	mustPlace(c, s, start, placement.Request{Service: "plain"}).Observe(start, leaving)
+	_, _, err := s.Place(start, placement.Request{Service: "plain"})
+	c.Assert(err != nil, qt.IsTrue)
+	c.Assert(err.Kind, qt.Equals, fault.NoBackend)
+	c.Assert(err.RetryAfter > 0, qt.IsTrue)
+}
+
+// TestPromptsDoNotWaitForALeavingEngine queues a prompt for an engine that then says
+// that it is leaving. The prompt must leave the queue without having been sent.
+func TestPromptsDoNotWaitForALeavingEngine(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(8, prefillEngines(1)...))
+	first := mustPlace(c, s, start, prompt(1))
+	_, queued, _ := s.Place(start, prompt(2))
+	c.Assert(queued, qt.IsNotNil)
+	first.Observe(start, leaving)
+	first.End(start, placement.Result{Outcome: placement.Answered, TimeToFirstOutput: time.Second})
+	c.Assert(placement.Placed(queued), qt.IsFalse)
+	c.Assert(s.OwnLoads(), qt.HasLen, 0)
+	c.Assert(s.PlanPrefill(start, prompt(2)).Disaggregated, qt.IsFalse)
+}
+
+// TestNoPrefillCopiesFromALeavingDecodeHome checks that a leaving engine is neither the
+// decode home of a prompt nor the engine to copy from.
+func TestNoPrefillCopiesFromALeavingDecodeHome(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(1, append(prefillEngines(1), engine("decode-0", fleet.Decode), engine("decode-1", fleet.Decode))...))
+	run := mustPlace(c, s, start, decoding(7))
+	home := run.Server()
+	run.Observe(start, leaving)
+	copyFrom := mustPlace(c, s, start, prompt(7)).Decision().CopyFrom
+	c.Assert(copyFrom, qt.Not(qt.Equals), home.Address)
+	c.Assert(copyFrom, qt.Equals, mustPlace(c, s, start, decoding(7)).Server().Address)
+}
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -135,6 +135,13 @@
 	l.run.MarkPrefilled()
 }
 
+// Observe applies a notice from the response to the request.
+func (l *Lease) Observe(n Notice) {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	l.run.Observe(time.Now(), n)
+}
+
 // End releases the lease. Later calls do nothing.
 func (l *Lease) End(o Outcome) {
 	l.placer.mu.Lock()
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -78,7 +78,9 @@
 	view          *view.View
 	servers       []*server
 	byID          map[string]*server
-	filters       []Filter
+	// notices holds what servers said about further requests, by server id.
+	notices map[string]*serverNotices
+	filters []Filter
 	// scorers rank servers for whole requests and decoding, prefillScorers for
 	// prefill.
 	scorers, prefillScorers []weightedScorer
@@ -106,6 +108,7 @@
 		domain:  domain,
 		entries: 1,
 		byID:    map[string]*server{},
+		notices: map[string]*serverNotices{},
 		filters: []Filter{ServiceFilter{}, StageFilter{}, ExcludedFilter{}},
 		scorers: []weightedScorer{
 			{LoadScorer{}, 1}, {PrefillTimeScorer{}, 1}, {ErrorScorer{}, errorWeight}, {DomainScorer{}, domainWeight},
@@ -180,6 +183,7 @@
 		known.ownRunningAtReport, known.ownTokensAtReport = known.ownRunning, known.ownTokens+known.ownQueuedTokens()
 	}
 	known.Server = next
+	s.applyNotices(known)
 	if known.State != fleet.Active || known.Role != fleet.Prefill {
 		known.flushQueue()
 	}
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -57,8 +57,9 @@
 	}
 	outcome := placement.Lost
 	defer func() { r.endAttempt(lease, outcome, err) }()
-	handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
+	head, handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
 	r.prefills++
+	lease.Observe(noticeIn(head))
 	if err == nil {
 		lease.MarkFirstOutput()
 		outcome = placement.Answered
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -109,8 +109,9 @@
 type Backend interface {
 	Send(ctx context.Context, s fleet.Server, t Transmission) (Response, error)
 	// Prefill processes the prompt and keeps its KV cache on the server. A refusal is
-	// an error of kind fault.BackendFailed.
-	Prefill(ctx context.Context, s fleet.Server, t Transmission) (CacheHandle, error)
+	// an error of kind fault.BackendFailed. The head is that of the response, also of a
+	// refusal, and zero without a response.
+	Prefill(ctx context.Context, s fleet.Server, t Transmission) (engine.Head, CacheHandle, error)
 	// Release frees a KV cache that no engine will fetch.
 	Release(ctx context.Context, h CacheHandle) error
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -179,6 +179,7 @@
 	}
 	resp, err := r.Backend.Send(ctx, server, r.transmission(lease.Decision().CopyFrom))
 	if err == nil {
+		lease.Observe(noticeIn(resp.Head()))
 		r.transmissions++
 		r.cache = nil
 		return resp, nil
@@ -186,6 +187,11 @@
 	return nil, r.sendFailed(server.ID, err)
 }
 
+// noticeIn returns what a server says in the head of a response about further requests.
+func noticeIn(h engine.Head) placement.Notice {
+	return placement.Notice{Leaving: h.Leaving}
+}
+
 // transmission returns the parameters of the next transmission.
 func (r *requestRun) transmission(copyFrom string) Transmission {
 	return Transmission{
