--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
@@ -50,6 +51,9 @@
 	NotRun bool
 	// Leaving is set when the backend server states that it is shutting down.
 	Leaving bool
+	// RetryAfter is how long the backend server, which refused the request, wants no
+	// further ones; 0 if it did not say.
+	RetryAfter time.Duration
 }
 
 // Event is one server-sent event of a response.
--- a/root/traffic/placement/candidates.go
+++ b/root/traffic/placement/candidates.go
@@ -35,8 +35,8 @@
 	return least
 }
 
-// candidates describes the servers that may take the request. Servers in
-// back-off are left out unless all servers are in back-off.
+// candidates describes the servers that may take the request. Servers that asked for
+// a pause are left out; those in back-off are too unless all servers are in back-off.
 func (s *State) candidates(now time.Time, req *Request) []Candidate {
 	var all []Candidate
 	medians := s.healthMedians(req)
@@ -45,7 +45,7 @@
 	model := s.prefillModel(req)
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if !s.passesFilters(req, &c) {
+		if !s.passesFilters(req, &c) || s.heldFor(now, srv) > 0 {
 			continue
 		}
 		c.Running = float64(srv.ownRunning) + max(0, float64(srv.Load.Running-srv.ownRunningAtReport))
--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
@@ -10,6 +11,8 @@
 type Notice struct {
 	// Leaving says that the server is shutting down.
 	Leaving bool
+	// RetryAfter is how long the server wants no further requests; 0 if it did not say.
+	RetryAfter time.Duration
 }
 
 // noticeMemory is how long the notices of a server that is in no view are kept. A
@@ -21,6 +24,8 @@
 type serverNotices struct {
 	incarnation uint64
 	leaving     bool
+	// heldUntil is the time before which the server wants no requests.
+	heldUntil time.Time
 	// updatedAt is when the last notice arrived.
 	updatedAt time.Time
 }
@@ -43,6 +48,9 @@
 	}
 	known.updatedAt = now
 	known.leaving = known.leaving || n.Leaving
+	if until := now.Add(n.RetryAfter); until.After(known.heldUntil) {
+		known.heldUntil = until
+	}
 	s.applyNotices(srv)
 	srv.flushQueue()
 }
@@ -63,6 +71,40 @@
 	}
 }
 
+// heldFor returns how long the server wants no requests; 0 or less if it wants some.
+func (s *State) heldFor(now time.Time, srv *server) time.Duration {
+	return s.noticesOf(srv).heldUntil.Sub(now)
+}
+
+// HeldFor returns the time until a server of the request's service and stage wants
+// requests. It is 0 if one wants them now or if there are none. It does not depend on
+// the servers that the request excludes or requires.
+func (s *State) HeldFor(now time.Time, req Request) time.Duration {
+	shortest := time.Duration(0)
+	for _, srv := range s.servers {
+		c := Candidate{Server: &srv.Server}
+		if !(ServiceFilter{}).Keep(&req, &c) || !(StageFilter{}).Keep(&req, &c) {
+			continue
+		}
+		held := s.heldFor(now, srv)
+		if held <= 0 {
+			return 0
+		}
+		if shortest == 0 || held < shortest {
+			shortest = held
+		}
+	}
+	return shortest
+}
+
+// errNoCandidate returns the error for a request that no server may take.
+func (s *State) errNoCandidate(now time.Time, req Request) *fault.Error {
+	if held := s.HeldFor(now, req); held > 0 {
+		return fault.New(fault.Overloaded, part, "every server of service %q asked for a pause", req.Service).WithRetryAfter(held)
+	}
+	return fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
+}
+
 // forgetNotices removes old notices of servers that are unknown or have restarted.
 func (s *State) forgetNotices(now time.Time) {
 	for id, n := range s.notices {
--- a/root/traffic/placement/notice_test.go
+++ b/root/traffic/placement/notice_test.go
@@ -95,3 +95,87 @@
 	c.Assert(copyFrom, qt.Not(qt.Equals), home.Address)
 	c.Assert(copyFrom, qt.Equals, mustPlace(c, s, start, decoding(7)).Server().Address)
 }
+
+func pause(d time.Duration) placement.Notice { return placement.Notice{RetryAfter: d} }
+
+// refuse places a request on a server, which refuses it and asks for a pause.
+func refuse(c *qt.C, s *placement.State, now time.Time, req placement.Request, d time.Duration) string {
+	run := mustPlace(c, s, now, req)
+	run.Observe(now, pause(d))
+	run.End(now, placement.Result{Outcome: placement.Refused})
+	return run.Server().ID
+}
+
+// TestAPauseOfAllServersIsNotLifted lets both servers ask for a pause. Unlike back-off,
+// it holds although no other server is left, and callers hear how long it lasts.
+func TestAPauseOfAllServersIsNotLifted(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(1, plain("one", "a"), plain("two", "a")))
+	req := placement.Request{Service: "plain"}
+	long := refuse(c, s, start, req, 3*time.Second)
+	short := refuse(c, s, start, req, 2*time.Second)
+	c.Assert(short, qt.Not(qt.Equals), long)
+
+	req.Exclude = []string{short}
+	for _, elapsed := range []time.Duration{0, time.Second, 1999 * time.Millisecond} {
+		_, _, err := s.Place(start.Add(elapsed), req)
+		c.Assert(err != nil, qt.IsTrue)
+		c.Assert(err.Kind, qt.Equals, fault.Overloaded)
+		c.Assert(err.Ran, qt.Equals, fault.RanNo)
+		c.Assert(err.RetryAfter, qt.Equals, 2*time.Second-elapsed)
+	}
+	req.Exclude = nil
+	for range 3 {
+		c.Assert(mustPlace(c, s, start.Add(2*time.Second), req).Server().ID, qt.Equals, short)
+	}
+	c.Assert(mustPlace(c, s, start.Add(3*time.Second), req).Server().ID, qt.Equals, long)
+}
+
+// TestLaterAnswersDoNotShortenAPause ends two requests that were in progress when their
+// server asked for a pause: a success, and a refusal that asks for a shorter one.
+func TestLaterAnswersDoNotShortenAPause(t *testing.T) {
+	c := qt.New(t)
+	one := plain("one", "a")
+	s := stateOf("vm-0", 1, viewOf(1, one))
+	req := placement.Request{Service: "plain"}
+	success, refusal := mustPlace(c, s, start, req), mustPlace(c, s, start, req)
+	refuse(c, s, start, req, 3*time.Second)
+	success.End(start.Add(time.Second), placement.Result{Outcome: placement.Answered, TimeToFirstOutput: time.Second})
+	refusal.Observe(start.Add(time.Second), pause(time.Second))
+	refusal.End(start.Add(time.Second), placement.Result{Outcome: placement.Refused})
+	s.SetView(viewOf(1))
+	s.SetView(viewOf(1, one))
+	_, _, err := s.Place(start.Add(2900*time.Millisecond), req)
+	c.Assert(err != nil, qt.IsTrue)
+	c.Assert(err.RetryAfter, qt.Equals, 100*time.Millisecond)
+	one.Incarnation = 2
+	s.SetView(viewOf(1, one))
+	mustPlace(c, s, start.Add(2900*time.Millisecond), req)
+}
+
+// TestPromptsAvoidEnginesThatAskedForAPause checks that a queued prompt leaves the queue
+// of a prefill engine that asks for a pause, that prompts are prefilled where they are
+// decoded meanwhile, and that they are refused once no engine wants to decode.
+func TestPromptsAvoidEnginesThatAskedForAPause(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(8, engines(1, 1)...))
+	first := mustPlace(c, s, start, prompt(1))
+	_, queued, _ := s.Place(start, prompt(2))
+	c.Assert(queued, qt.IsNotNil)
+	c.Assert(s.PlanPrefill(start, prompt(2)).Disaggregated, qt.IsTrue)
+	first.Observe(start, pause(time.Second))
+	first.End(start, placement.Result{Outcome: placement.Lost})
+	c.Assert(placement.Placed(queued), qt.IsFalse)
+	c.Assert(s.OwnLoads(), qt.HasLen, 0)
+	c.Assert(s.PlanPrefill(start, prompt(2)).Disaggregated, qt.IsFalse)
+
+	later := start.Add(time.Second)
+	c.Assert(s.PlanPrefill(later, prompt(2)).Disaggregated, qt.IsTrue)
+	refuse(c, s, later, decoding(2), time.Second)
+	c.Assert(s.PlanPrefill(later, prompt(2)).Disaggregated, qt.IsFalse)
+	whole := prompt(2)
+	whole.Stage = placement.Whole
+	_, _, err := s.Place(later, whole)
+	c.Assert(err != nil, qt.IsTrue)
+	c.Assert(err.Kind, qt.Equals, fault.Overloaded)
+}
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -90,6 +90,14 @@
 	return p.state.PlanPrefill(time.Now(), req)
 }
 
+// HeldFor returns the time until a server of the request's service and stage wants
+// requests; see State.HeldFor.
+func (p *Placer) HeldFor(req Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.HeldFor(time.Now(), req)
+}
+
 // OwnLoads returns this entry's load on each server that it uses.
 func (p *Placer) OwnLoads() []fleet.OwnLoad {
 	p.mu.Lock()
--- a/root/traffic/placement/prefill_plan.go
+++ b/root/traffic/placement/prefill_plan.go
@@ -32,9 +32,9 @@
 // prefill engine or, if the predicted prefill time there is shorter by more than
 // prefillMargin, to a lightly loaded decode engine. The prefill engine compared is
 // the prefill home if its predicted time is at most spilloverTime, and otherwise the
-// fastest one.
+// fastest one. Nothing is prefilled apart while no engine would decode it.
 func (s *State) PlanPrefill(now time.Time, req Request) PrefillPlan {
-	if req.PromptTokens == 0 || !s.hasStage(req.Service, Prefill) {
+	if req.PromptTokens == 0 || !s.hasStage(now, req.Service, Prefill) || !s.hasStage(now, req.Service, Decode) {
 		return PrefillPlan{}
 	}
 	if req.isShort() {
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -190,12 +190,12 @@
 }
 
 // hasStage reports whether the service has an active engine whose role covers the
-// stage.
-func (s *State) hasStage(service string, stage Stage) bool {
+// stage and that wants requests.
+func (s *State) hasStage(now time.Time, service string, stage Stage) bool {
 	req := &Request{Service: service, Stage: stage}
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if (ServiceFilter{}).Keep(req, &c) && (StageFilter{}).Keep(req, &c) {
+		if (ServiceFilter{}).Keep(req, &c) && (StageFilter{}).Keep(req, &c) && s.heldFor(now, srv) <= 0 {
 			return true
 		}
 	}
@@ -211,7 +211,7 @@
 	}
 	all := s.candidates(now, &req)
 	if len(all) == 0 {
-		return nil, nil, fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
+		return nil, nil, s.errNoCandidate(now, req)
 	}
 	if prefillTime := minPrefillTime(all); req.FirstOutputTimeout > 0 && prefillTime > req.FirstOutputTimeout {
 		return nil, nil, errPrefillTooSlow(prefillTime, req.FirstOutputTimeout)
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -189,7 +189,7 @@
 
 // noticeIn returns what a server says in the head of a response about further requests.
 func noticeIn(h engine.Head) placement.Notice {
-	return placement.Notice{Leaving: h.Leaving}
+	return placement.Notice{Leaving: h.Leaving, RetryAfter: h.RetryAfter}
 }
 
 // transmission returns the parameters of the next transmission.
@@ -245,7 +245,7 @@
 
 // finalError returns the error for the caller after the last attempt. It reports a
 // passed deadline as such, and whether any attempt may have run the request. If none
-// has, the error suggests a delay before a retry.
+// has, the error suggests a delay before a retry: at least until a server wants requests.
 func (r *requestRun) finalError(ctx context.Context, failed *fault.Error) *fault.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		failed = fault.Wrap(failed, fault.DeadlineExceeded, part, "deadline exceeded").WithRan(failed.Ran)
@@ -254,7 +254,7 @@
 		return failed.WithRan(r.ran)
 	}
 	if failed.RetryAfter == 0 {
-		return failed.WithRetryAfter(defaultRetry)
+		return failed.WithRetryAfter(max(defaultRetry, r.Placer.HeldFor(r.placementRequest())))
 	}
 	return failed
 }
