--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -97,9 +97,10 @@
 	return shortest
 }
 
-// errNoCandidate returns the error for a request that no server may take.
+// errNoCandidate returns the error for a request that no server may take. Prefill is
+// never refused as Overloaded here: another engine may run the whole request.
 func (s *State) errNoCandidate(now time.Time, req Request) *fault.Error {
-	if held := s.HeldFor(now, req); held > 0 {
+	if held := s.HeldFor(now, req); held > 0 && req.Stage != Prefill {
 		return fault.New(fault.Overloaded, part, "every server of service %q asked for a pause", req.Service).WithRetryAfter(held)
 	}
 	return fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -25,9 +25,9 @@
 
 // prefill runs the prompt on a prefill engine if placement plans that. It does nothing
 // if an earlier attempt left an unused KV cache, from which a decode engine continues.
-// Without a KV cache, also after a failed prefill call, one server runs the whole
-// request. An error means that placement refused the prefill or that ctx ended; it is
-// final.
+// Without a KV cache, also after a failed prefill call or if the last prefill engine went
+// away while the request was queued, one server runs the whole request. An error means
+// that placement refused the prefill or that ctx ended; it is final.
 //
 // A failed prefill call is reported to placement as Lost, or as Abandoned if ctx has
 // ended. A refusal by the engine is reported as Lost too, so placement avoids the engine
@@ -52,6 +52,9 @@
 	req.Stage = placement.Prefill
 	req.FirstOutputTimeout = max(1, req.FirstOutputTimeout-decodeReserve)
 	lease, err := r.Placer.Place(ctx, req)
+	if fault.Is(err, fault.NoBackend) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
