--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -30,12 +30,13 @@
 	updatedAt time.Time
 }
 
-// Observe applies a notice from the response to the request.
-func (r *Run) Observe(now time.Time, n Notice) { r.state.observeNotice(now, r.server, n) }
+// Observe applies a notice from the response to the request. It reports whether the
+// notice says more than earlier ones of the server.
+func (r *Run) Observe(now time.Time, n Notice) bool { return r.state.observeNotice(now, r.server, n) }
 
-func (s *State) observeNotice(now time.Time, srv *server, n Notice) {
+func (s *State) observeNotice(now time.Time, srv *server, n Notice) bool {
 	if n == (Notice{}) {
-		return
+		return false
 	}
 	known := s.notices[srv.ID]
 	if known == nil || known.incarnation < srv.Incarnation {
@@ -44,15 +45,18 @@
 		s.notices[srv.ID] = known
 	}
 	if known.incarnation > srv.Incarnation {
-		return
+		return false
 	}
-	known.updatedAt = now
+	before := *known
 	known.leaving = known.leaving || n.Leaving
-	if until := now.Add(n.RetryAfter); until.After(known.heldUntil) {
+	if until := now.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(known.heldUntil) {
 		known.heldUntil = until
 	}
+	changed := *known != before
+	known.updatedAt = now
 	s.applyNotices(srv)
 	srv.flushQueue()
+	return changed
 }
 
 // noticesOf returns the notices that apply to the server's incarnation.
--- a/root/traffic/placement/notice_test.go
+++ b/root/traffic/placement/notice_test.go
@@ -179,3 +179,17 @@
 	c.Assert(err != nil, qt.IsTrue)
 	c.Assert(err.Kind, qt.Equals, fault.Overloaded)
 }
+
+// TestNoticeThatSaysNothingNewIsNotReported repeats notices, which would fill the log.
+func TestNoticeThatSaysNothingNewIsNotReported(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, viewOf(1, plain("one", "a")))
+	run := mustPlace(c, s, start, placement.Request{Service: "plain"})
+	later := start.Add(time.Second)
+	c.Check(run.Observe(start, placement.Notice{}), qt.IsFalse)
+	c.Check(run.Observe(start, pause(3*time.Second)), qt.IsTrue)
+	c.Check(run.Observe(later, pause(time.Second)), qt.IsFalse)
+	c.Check(run.Observe(later, pause(3*time.Second)), qt.IsTrue)
+	c.Check(run.Observe(later, leaving), qt.IsTrue)
+	c.Check(run.Observe(later, leaving), qt.IsFalse)
+}
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -143,11 +143,12 @@
 	l.run.MarkPrefilled()
 }
 
-// Observe applies a notice from the response to the request.
-func (l *Lease) Observe(n Notice) {
+// Observe applies a notice from the response to the request. It reports whether the
+// notice says more than earlier ones of the server.
+func (l *Lease) Observe(n Notice) bool {
 	l.placer.mu.Lock()
 	defer l.placer.mu.Unlock()
-	l.run.Observe(time.Now(), n)
+	return l.run.Observe(time.Now(), n)
 }
 
 // End releases the lease. Later calls do nothing.
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -62,7 +62,7 @@
 	defer func() { r.endAttempt(lease, outcome, err) }()
 	head, handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
 	r.prefills++
-	lease.Observe(noticeIn(head))
+	r.observeNotice(lease, head)
 	if err == nil {
 		lease.MarkFirstOutput()
 		outcome = placement.Answered
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -179,7 +179,7 @@
 	}
 	resp, err := r.Backend.Send(ctx, server, r.transmission(lease.Decision().CopyFrom))
 	if err == nil {
-		lease.Observe(noticeIn(resp.Head()))
+		r.observeNotice(lease, resp.Head())
 		r.transmissions++
 		r.cache = nil
 		return resp, nil
@@ -187,9 +187,13 @@
 	return nil, r.sendFailed(server.ID, err)
 }
 
-// noticeIn returns what a server says in the head of a response about further requests.
-func noticeIn(h engine.Head) placement.Notice {
-	return placement.Notice{Leaving: h.Leaving, RetryAfter: h.RetryAfter}
+// observeNotice passes on what a server says in the head of a response about further
+// requests, and logs what is new.
+func (r *requestRun) observeNotice(lease *placement.Lease, h engine.Head) {
+	if lease.Observe(placement.Notice{Leaving: h.Leaving, RetryAfter: h.RetryAfter}) {
+		r.Log.Info("server wants no requests", "request", r.req.ID, "server", lease.Server().ID,
+			"leaving", h.Leaving, "retry_after", h.RetryAfter.String())
+	}
 }
 
 // transmission returns the parameters of the next transmission.
