--- a/root/traffic/placement/export_test.go
+++ b/root/traffic/placement/export_test.go
@@ -21,3 +21,6 @@
 		return nil
 	}
 }
+
+// NoticeCount returns the number of servers whose notices are kept.
+func NoticeCount(s *State) int { return len(s.notices) }
--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -15,8 +15,9 @@
 	RetryAfter time.Duration
 }
 
-// noticeMemory is how long the notices of a server that is in no view are kept. A
-// server that is shutting down may be missing from a view and return in the next.
+// noticeMemory is how long the notices of a server that is in no view are kept after
+// the last one. A server that is shutting down may be missing from a view and return in
+// the next.
 const noticeMemory = 10 * time.Minute
 
 // serverNotices sums up the notices of one incarnation of a server. Views neither
@@ -110,12 +111,13 @@
 	return fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
 }
 
-// forgetNotices removes old notices of servers that are unknown or have restarted.
+// forgetNotices removes old notices of servers that are unknown or have restarted, so
+// that those of servers that are gone do not accumulate.
 func (s *State) forgetNotices(now time.Time) {
 	for id, n := range s.notices {
 		srv := s.byID[id]
 		inUse := srv != nil && srv.Incarnation <= n.incarnation
-		if !inUse && now.Sub(n.updatedAt) > noticeMemory {
+		if !inUse && now.Sub(n.updatedAt) > noticeMemory && now.After(n.heldUntil) {
 			delete(s.notices, id)
 		}
 	}
--- a/root/traffic/placement/notice_test.go
+++ b/root/traffic/placement/notice_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -193,3 +194,18 @@
 	c.Check(run.Observe(later, leaving), qt.IsTrue)
 	c.Check(run.Observe(later, leaving), qt.IsFalse)
 }
+
+// TestNoticesOfGoneServersDoNotAccumulate replaces a leaving server by a new one every
+// minute for a day.
+func TestNoticesOfGoneServersDoNotAccumulate(t *testing.T) {
+	c := qt.New(t)
+	s := stateOf("vm-0", 1, nil)
+	for n := range 24 * 60 {
+		now := start.Add(time.Duration(n) * time.Minute)
+		s.SetView(viewOf(1, plain(fmt.Sprint("server-", n), "a")))
+		run := mustPlace(c, s, now, placement.Request{Service: "plain"})
+		run.Observe(now, leaving)
+		run.End(now, placement.Result{Outcome: placement.Answered})
+	}
+	c.Assert(placement.NoticeCount(s) <= 12, qt.IsTrue, qt.Commentf("%d kept", placement.NoticeCount(s)))
+}
