--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -8,9 +8,12 @@
 
 // Run is one request placed on a server.
 type Run struct {
-	state   *State
-	server  *server
-	request Request
+	state  *State
+	server *server
+	// announced is the server as last announced when the run began. Views change server
+	// later.
+	announced fleet.Server
+	request   Request
 	// prefillTokens are the prompt tokens to prefill. units is the request's work: 1
 	// for its fixed part and 1 per tokensPerUnit uncached prompt tokens.
 	prefillTokens, units float64
@@ -23,7 +26,7 @@
 func (s *State) begin(now time.Time, req Request, c Candidate, candidateCount int) *Run {
 	srv := s.byID[c.Server.ID]
 	copyFrom := s.copyFrom(&req, srv)
-	r := &Run{state: s, server: srv, placed: now, request: req, units: 1 + c.UncachedTokens/tokensPerUnit}
+	r := &Run{state: s, server: srv, announced: srv.Server, placed: now, request: req, units: 1 + c.UncachedTokens/tokensPerUnit}
 	r.decision = Decision{
 		Stage: req.Stage, Candidates: candidateCount, Running: c.Running, QueuedTokens: c.QueuedTokens, UncachedTokens: c.UncachedTokens,
 		Slowness: c.Slowness, PrefillTime: c.PrefillTime, PrefillHome: c.PrefillHome, CopyFrom: copyFrom, ViewTerm: s.view.Term, ViewSeq: s.view.Seq,
@@ -70,8 +73,8 @@
 	return from.Address
 }
 
-// Server returns the server as last announced.
-func (r *Run) Server() fleet.Server { return r.server.Server }
+// Server returns the server as it was when the request was placed.
+func (r *Run) Server() fleet.Server { return r.announced }
 
 // Decision returns what the placement was based on.
 func (r *Run) Decision() Decision { return r.decision }
