--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -90,6 +90,14 @@
 	return p.state.PlanPrefill(time.Now(), req)
 }
 
+// HeldFor returns the time until a server of the request's service and stage wants
+// requests; see State.HeldFor.
+func (p *Placer) HeldFor(req Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.HeldFor(time.Now(), req)
+}
+
 // OwnLoads returns this entry's load on each server that it uses.
 func (p *Placer) OwnLoads() []fleet.OwnLoad {
 	p.mu.Lock()
@@ -135,6 +143,14 @@
 	l.run.MarkPrefilled()
 }
 
+// Observe applies a notice from the response to the request. It reports whether the
+// notice says more than earlier ones of the server.
+func (l *Lease) Observe(n Notice) bool {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	return l.run.Observe(time.Now(), n)
+}
+
 // End releases the lease. Later calls do nothing.
 func (l *Lease) End(o Outcome) {
 	l.placer.mu.Lock()
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -78,7 +78,9 @@
 	view          *view.View
 	servers       []*server
 	byID          map[string]*server
-	filters       []Filter
+	// notices holds what servers said about further requests, by server id.
+	notices map[string]*serverNotices
+	filters []Filter
 	// scorers rank servers for whole requests and decoding, prefillScorers for
 	// prefill.
 	scorers, prefillScorers []weightedScorer
@@ -106,6 +108,7 @@
 		domain:  domain,
 		entries: 1,
 		byID:    map[string]*server{},
+		notices: map[string]*serverNotices{},
 		filters: []Filter{ServiceFilter{}, StageFilter{}, ExcludedFilter{}},
 		scorers: []weightedScorer{
 			{LoadScorer{}, 1}, {PrefillTimeScorer{}, 1}, {ErrorScorer{}, errorWeight}, {DomainScorer{}, domainWeight},
@@ -180,18 +183,19 @@
 		known.ownRunningAtReport, known.ownTokensAtReport = known.ownRunning, known.ownTokens+known.ownQueuedTokens()
 	}
 	known.Server = next
+	s.applyNotices(known)
 	if known.State != fleet.Active || known.Role != fleet.Prefill {
 		known.flushQueue()
 	}
 }
 
 // hasStage reports whether the service has an active engine whose role covers the
-// stage.
-func (s *State) hasStage(service string, stage Stage) bool {
+// stage and that wants requests.
+func (s *State) hasStage(now time.Time, service string, stage Stage) bool {
 	req := &Request{Service: service, Stage: stage}
 	for _, srv := range s.servers {
 		c := Candidate{Server: &srv.Server}
-		if (ServiceFilter{}).Keep(req, &c) && (StageFilter{}).Keep(req, &c) {
+		if (ServiceFilter{}).Keep(req, &c) && (StageFilter{}).Keep(req, &c) && s.heldFor(now, srv) <= 0 {
 			return true
 		}
 	}
@@ -207,7 +211,7 @@
 	}
 	all := s.candidates(now, &req)
 	if len(all) == 0 {
-		return nil, nil, fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
+		return nil, nil, s.errNoCandidate(now, req)
 	}
 	if prefillTime := minPrefillTime(all); req.FirstOutputTimeout > 0 && prefillTime > req.FirstOutputTimeout {
 		return nil, nil, errPrefillTooSlow(prefillTime, req.FirstOutputTimeout)
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -179,6 +179,7 @@
 	}
 	resp, err := r.Backend.Send(ctx, server, r.transmission(lease.Decision().CopyFrom))
 	if err == nil {
+		r.observeNotice(lease, resp.Head())
 		r.transmissions++
 		r.cache = nil
 		return resp, nil
@@ -186,6 +187,15 @@
 	return nil, r.sendFailed(server.ID, err)
 }
 
+// observeNotice passes on what a server says in the head of a response about further
+// requests, and logs what is new.
+func (r *requestRun) observeNotice(lease *placement.Lease, h engine.Head) {
+	if lease.Observe(placement.Notice{Leaving: h.Leaving, RetryAfter: h.RetryAfter}) {
+		r.Log.Info("server wants no requests", "request", r.req.ID, "server", lease.Server().ID,
+			"leaving", h.Leaving, "retry_after", h.RetryAfter.String())
+	}
+}
+
 // transmission returns the parameters of the next transmission.
 func (r *requestRun) transmission(copyFrom string) Transmission {
 	return Transmission{
@@ -239,7 +249,7 @@
 
 // finalError returns the error for the caller after the last attempt. It reports a
 // passed deadline as such, and whether any attempt may have run the request. If none
-// has, the error suggests a delay before a retry.
+// has, the error suggests a delay before a retry: at least until a server wants requests.
 func (r *requestRun) finalError(ctx context.Context, failed *fault.Error) *fault.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		failed = fault.Wrap(failed, fault.DeadlineExceeded, part, "deadline exceeded").WithRan(failed.Ran)
@@ -248,7 +258,7 @@
 		return failed.WithRan(r.ran)
 	}
 	if failed.RetryAfter == 0 {
-		return failed.WithRetryAfter(defaultRetry)
+		return failed.WithRetryAfter(max(defaultRetry, r.Placer.HeldFor(r.placementRequest())))
 	}
 	return failed
 }
