--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -31,7 +31,8 @@
 	// and backend servers that stopped reporting.
 	SweepInterval time.Duration
 	// PushInterval is the minimum time between two pushes of fleet changes, and
-	// PushIntervalPerHolder is added to it for each lease holder.
+	// PushIntervalPerHolder is added to it for each lease holder. A push to many holders
+	// takes PushIntervalPerHolder for each.
 	PushInterval, PushIntervalPerHolder time.Duration
 	// LedgerTickInterval is the time between the leader's Tick commands, which make
 	// ledger records expire.
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -39,10 +39,7 @@
 	pendingChanges []pendingChange
 	nextSweep      time.Time
 	nextLedgerTick time.Time
-	// nextPush is the earliest time of the next push of a fleet change, and
-	// pushPending is set while one is waiting for it.
-	nextPush    time.Time
-	pushPending bool
+	pushes         *pushes
 	// nextLoadRefresh is the earliest time of the next view that only updates
 	// loads.
 	nextLoadRefresh time.Time
@@ -84,54 +81,12 @@
 	}
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
+	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
 	l.pushView()
-	l.announceLeadership(previous.VMs)
+	l.pushes.announceLeadership(previous.VMs)
 	return l
 }
 
-// announceLeadership tells the VMs of the last view about the new leader, so that
-// they need not wait for a timeout on the previous one.
-func (l *leader) announceLeadership(vms []fleet.VM) {
-	l.m.send(l.m.cfg.Self.ID, Grant{Term: l.term, Seq: l.seq(), Confirm: true})
-	for _, vm := range vms {
-		if vm.ID != l.m.cfg.Self.ID {
-			l.m.send(vm.ID, Grant{Term: l.term, Seq: l.seq(), Confirm: true})
-		}
-	}
-}
-
-// pushView builds a view of the current state and, if that changes the view, pushes
-// it to the lease holders. Changes that an earlier updateView included are not pushed.
-func (l *leader) pushView() {
-	l.pushPending = false
-	l.nextPush = l.m.now.Add(l.m.cfg.Timing.pushInterval(len(l.holders)))
-	if !l.updateView() {
-		return
-	}
-	// Most holders have applied the same view and share one update.
-	updates := map[view.Versions]*view.Update{}
-	for _, id := range sortedKeys(l.holders) {
-		h := l.holders[id]
-		u := updates[h.pushed]
-		if u == nil {
-			u = l.views.Since(h.pushed)
-			updates[h.pushed] = u
-		}
-		h.pushed = l.views.Versions()
-		l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: u, Confirm: l.needsConfirmation(h)})
-	}
-}
-
-// onFleetChange pushes a new view at most once per push interval. After a change of
-// leader nearly every Renew changes the fleet.
-func (l *leader) onFleetChange() {
-	if l.m.now.Before(l.nextPush) {
-		l.pushPending = true
-		return
-	}
-	l.pushView()
-}
-
 // updateView builds a new view and reports whether it changed. Unless it is pushed,
 // lease holders receive it in answer to their next Renew.
 func (l *leader) updateView() bool {
@@ -230,9 +185,7 @@
 
 func (l *leader) tick() {
 	now := l.m.now
-	if l.pushPending && !now.Before(l.nextPush) {
-		l.pushView()
-	}
+	l.pushes.tick()
 	if now.Before(l.nextSweep) {
 		return
 	}
@@ -254,12 +207,7 @@
 	}
 }
 
-func (l *leader) nextWake() time.Time {
-	if l.pushPending {
-		return earlier(l.nextSweep, l.nextPush)
-	}
-	return l.nextSweep
-}
+func (l *leader) nextWake() time.Time { return earlier(l.nextSweep, l.pushes.nextWake()) }
 
 // endPartialView marks the view as complete once partialUntil has passed.
 func (l *leader) endPartialView() {
--- a/root/control/machine/simulation_test.go
+++ b/root/control/machine/simulation_test.go
@@ -34,6 +34,8 @@
 	violation       string
 	// onAnswer is called for every answer if it is set.
 	onAnswer func(*node, machine.Answer)
+	// onSend is called for every message if it is set.
+	onSend func(from, to string, msg machine.Message)
 }
 
 type packet struct {
@@ -104,6 +106,9 @@
 }
 
 func (sim *simulation) send(from, to string, msg machine.Message) {
+	if sim.onSend != nil {
+		sim.onSend(from, to, msg)
+	}
 	if sim.node(from).isolated || sim.node(to).isolated || sim.blocked[[2]string{from, to}] || sim.rng.IntN(50) == 0 {
 		return
 	}
