--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -121,9 +121,26 @@
 	if err != nil {
 		fields = append(fields, "reason", err.Error())
 	}
+	if outcome == placement.Lost && r.service.Engine != nil {
+		fields = append(fields, "segments", r.segmentNames())
+	}
 	r.Log.Info("attempt ended", fields...)
 }
 
+// maxLoggedSegments bounds the segments of one prompt in the log.
+const maxLoggedSegments = 64
+
+// segmentNames returns the ids of the shared segments of the prompt. The last segment
+// belongs to the request alone.
+func (r *requestRun) segmentNames() []string {
+	var out []string
+	segments := r.req.Prompt.Segments
+	for i := range min(len(segments)-1, maxLoggedSegments) {
+		out = append(out, segments[i].ID)
+	}
+	return out
+}
+
 // succeededInTime reports whether an attempt succeeded and ended within the route's
 // latency objective after the request arrived. A stream ends with its last event.
 func (r *requestRun) succeededInTime(outcome placement.Outcome, err error) bool {
