--- a/api/codec/log_test.go
+++ b/api/codec/log_test.go
@@ -10,6 +10,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -43,6 +44,7 @@
 	replicated.SetDrain{ID: "e", Draining: true, Operator: "o", At: 11},
 	replicated.SetFencing{Server: "e", Checks: true, Operator: "o", At: 12},
 	replicated.Tick{At: 13},
+	replicated.QuarantineSegments{Segments: []quarantine.Segment{7, 1 << 63}, At: 14},
 }
 
 func TestCommandsResultsAndSnapshotsComeBackEqual(t *testing.T) {
--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -126,6 +126,9 @@
 		LoadsTerm:     m.LoadsTerm,
 		LoadsSeq:      m.LoadsSeq,
 		Demands:       fromDemands(m.Demands),
+
+		SegmentLosses:     fromLosses(m.SegmentLosses),
+		CompletedSegments: fromSegments(m.CompletedSegments),
 	}
 	for _, h := range m.Heard {
 		out.Heard = append(out.Heard, &api.Heard{Server: fromServer(h.Server), AgeNanos: int64(h.Age)})
@@ -147,6 +150,9 @@
 		LoadsTerm:     p.LoadsTerm,
 		LoadsSeq:      p.LoadsSeq,
 		Demands:       toDemands(p.Demands),
+
+		SegmentLosses:     toLosses(p.SegmentLosses),
+		CompletedSegments: toSegments(p.CompletedSegments),
 	}
 	for _, h := range p.Heard {
 		out.Heard = append(out.Heard, toHeard(h))
--- /dev/null
+++ b/api/codec/segments.go
@@ -0,0 +1,92 @@
+package codec
+
+import (
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/api"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+)
+
+func fromSegments(segments []quarantine.Segment) []uint64 {
+	var out []uint64
+	for _, s := range segments {
+		out = append(out, uint64(s))
+	}
+	return out
+}
+
+func toSegments(segments []uint64) []quarantine.Segment {
+	var out []quarantine.Segment
+	for _, s := range segments {
+		out = append(out, quarantine.Segment(s))
+	}
+	return out
+}
+
+func fromLosses(losses []quarantine.Loss) []*api.SegmentLoss {
+	var out []*api.SegmentLoss
+	for _, l := range losses {
+		out = append(out, &api.SegmentLoss{
+			Segment: uint64(l.Segment), Server: l.Server, Incarnation: l.Incarnation, AgeNanos: int64(time.Since(l.At)),
+		})
+	}
+	return out
+}
+
+func toLosses(losses []*api.SegmentLoss) []quarantine.Loss {
+	var out []quarantine.Loss
+	now := time.Now()
+	for _, l := range losses {
+		out = append(out, quarantine.Loss{
+			Segment: quarantine.Segment(l.Segment), Server: l.Server, Incarnation: l.Incarnation,
+			At: now.Add(-time.Duration(l.AgeNanos)),
+		})
+	}
+	return out
+}
+
+func fromSegmentList(l *quarantine.List) *api.SegmentList {
+	if l == nil {
+		return nil
+	}
+	out := &api.SegmentList{}
+	for _, e := range l.Quarantined {
+		out.Quarantined = append(out.Quarantined, &api.QuarantinedSegment{Segment: uint64(e.Segment), UntilMs: e.Until})
+	}
+	for _, s := range l.Suspects {
+		out.Suspects = append(out.Suspects, &api.SuspectSegment{Segment: uint64(s.Segment), AgeMs: time.Since(s.Since).Milliseconds()})
+	}
+	return out
+}
+
+func toSegmentList(p *api.SegmentList) *quarantine.List {
+	if p == nil {
+		return nil
+	}
+	out := &quarantine.List{}
+	for _, e := range p.Quarantined {
+		out.Quarantined = append(out.Quarantined, quarantine.Entry{Segment: quarantine.Segment(e.Segment), Until: e.UntilMs})
+	}
+	now := time.Now()
+	for _, s := range p.Suspects {
+		since := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
+		out.Suspects = append(out.Suspects, quarantine.Suspect{Segment: quarantine.Segment(s.Segment), Since: since})
+	}
+	return out
+}
+
+func fromQuarantine(entries []quarantine.Entry) []*api.LogQuarantined {
+	var out []*api.LogQuarantined
+	for _, e := range entries {
+		out = append(out, &api.LogQuarantined{Segment: uint64(e.Segment), UntilMs: e.Until})
+	}
+	return out
+}
+
+func toQuarantine(entries []*api.LogQuarantined) []quarantine.Entry {
+	var out []quarantine.Entry
+	for _, e := range entries {
+		out = append(out, quarantine.Entry{Segment: quarantine.Segment(e.Segment), Until: e.UntilMs})
+	}
+	return out
+}
--- a/api/codec/snapshot.go
+++ b/api/codec/snapshot.go
@@ -25,6 +25,7 @@
 		Authority: fromAuthority(s.Authority),
 		Routes:    document,
 	}
+	m.Quarantine = fromQuarantine(s.Quarantine)
 	for _, id := range sortedKeys(s.Fleet) {
 		m.Fleet = append(m.Fleet, fromRecordedServers([]fleet.Server{s.Fleet[id]})...)
 	}
@@ -98,6 +99,7 @@
 	if out.Authority, err = toAuthority(m.Authority); err != nil {
 		return none, err
 	}
+	out.Quarantine = toQuarantine(m.Quarantine)
 	servers, err := toRecordedServers(m.Fleet)
 	if err != nil {
 		return none, err
--- a/api/codec/update.go
+++ b/api/codec/update.go
@@ -39,6 +39,7 @@
 		RemovedServers: u.RemovedServers, RemovedVms: u.RemovedVMs,
 		Routes: document, RoutesDelta: delta, Partial: u.Partial,
 		ServerLoads: fromServerLoads(u.ServerLoads), VmLoads: fromVMLoads(u.VMLoads),
+		Segments: fromSegmentList(u.Segments),
 	}
 	if u.Table != nil {
 		out.HasTable = true
@@ -76,6 +77,7 @@
 		Term: p.Term, Seq: p.Seq, Base: p.Base,
 		RemovedServers: p.RemovedServers, RemovedVMs: p.RemovedVms,
 		Routes: document, RoutesDelta: delta, Partial: p.Partial,
+		Segments: toSegmentList(p.Segments),
 	}
 	if p.HasTable {
 		out.Table = &table.Table{Version: p.TableVersion, Classes: toClasses(p.Classes)}
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -34,6 +34,7 @@
 	Corrupt
 	Settings
 	Unavailable
+	Quarantined
 	kindCount
 )
 
@@ -101,6 +102,7 @@
 	Corrupt:          {"corrupt", 500, 74, RanUnknown, false},
 	Settings:         {"settings", 500, 78, RanNo, false},
 	Unavailable:      {"unavailable", 503, 69, RanUnknown, true},
+	Quarantined:      {"quarantined", 503, 75, RanNo, true},
 }
 
 // Attributes returns the attributes of the kind, and those of Internal for an
--- a/root/control/control.go
+++ b/root/control/control.go
@@ -17,7 +17,7 @@
 // passivePackages are the packages that run on the control thread. The supervisor
 // tree lists them as parts without a goroutine of their own.
 var passivePackages = []string{
-	"machine", "consensus", "replicated", "table", "routes", "ledger", "authority", "fleet", "roles", "view",
+	"machine", "consensus", "replicated", "table", "routes", "ledger", "authority", "fleet", "roles", "quarantine", "view",
 }
 
 // Parameters of the replicated log, for VMs a few milliseconds apart.
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -45,6 +45,7 @@
 	nextLoadRefresh time.Time
 	orders          *orders
 	shares          *shares
+	segments        *segments
 	// partialUntil is when the fleet is assumed to be fully known; zero once it is.
 	partialUntil time.Time
 	// nextFleetRecord is the earliest time of the next fleet record in the log.
@@ -82,6 +83,7 @@
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
 	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
+	l.segments = newSegments(l)
 	l.pushView()
 	l.pushes.announceLeadership(previous.VMs)
 	return l
@@ -92,6 +94,7 @@
 func (l *leader) updateView() bool {
 	l.nextLoadRefresh = l.m.now.Add(l.m.cfg.Timing.RenewInterval)
 	changed := l.views.Set(l.r.state.Table(), l.r.state.Routes(), l.viewServers(), l.viewVMs())
+	changed = l.views.SetSegments(l.segments.list()) || changed
 	for _, vm := range l.views.Current().VMs {
 		if _, known := l.leavingSeq[vm.ID]; !known && vm.State == fleet.Leaving {
 			l.leavingSeq[vm.ID] = l.seq()
@@ -150,6 +153,7 @@
 		}
 	}
 	l.fleet.ObserveLoads(from, msg.Loads)
+	changed = l.segments.observe(msg) || changed
 	if changed {
 		l.onFleetChange()
 	} else if !l.m.now.Before(l.nextLoadRefresh) {
@@ -194,6 +198,7 @@
 	l.removeUnresponsiveReplica()
 	l.recordFleet()
 	l.abandonEarlierIncarnations()
+	l.segments.advance()
 	if l.fleet.Expire(now) {
 		l.forgetRemoved()
 		l.pushView()
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -42,7 +42,7 @@
 		l.propose(cmd, p)
 	case replicated.ReadRoutes:
 		l.readRoutes(p)
-	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.Tick:
+	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.QuarantineSegments, replicated.Tick:
 		l.answer(p, replicated.Result{Err: fault.New(fault.Invalid, part, "only the leader may propose this command")})
 	default:
 		l.propose(msg.Command, p)
@@ -107,7 +107,7 @@
 	case replicated.ChangeTable:
 		l.onTableChange(p, ours, result)
 		return
-	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes:
+	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes, replicated.QuarantineSegments:
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -26,11 +26,12 @@
 	renewDeadline time.Time
 	announcements map[string]announcement
 	// reportedBefore is the send time, since process start, of the last Renew that
-	// the leader of reportedTerm has answered. That leader knows every announcement
-	// received earlier.
+	// the leader of reportedTerm has answered. That leader knows everything that was
+	// reported to this process earlier.
 	reportedBefore time.Duration
 	reportedTerm   uint64
 	traffic        TrafficReport
+	segments       segmentReports
 	state          fleet.State
 	stopped        bool
 }
@@ -41,7 +42,9 @@
 }
 
 func newLeaseClient(m *Machine) *leaseClient {
-	return &leaseClient{m: m, announcements: map[string]announcement{}, nextRenew: m.now, current: &view.View{LeaseOptional: m.cfg.LeaseOptional}}
+	c := &leaseClient{m: m, announcements: map[string]announcement{}, nextRenew: m.now, current: &view.View{LeaseOptional: m.cfg.LeaseOptional}}
+	c.segments.client = c
+	return c
 }
 
 // onAnnounced records the announcement of a backend server. A new server, or a change
@@ -139,6 +142,7 @@
 	vm.State = c.advertisedState()
 	vm.InFlight = c.traffic.InFlight
 	vm.Replica = c.m.replica != nil
+	losses, completed := c.segments.unconfirmed()
 	return Renew{
 		VM:            vm,
 		SentAt:        c.m.now.Sub(c.m.started),
@@ -151,8 +155,12 @@
 		LoadsTerm:     c.traffic.ViewTerm,
 		LoadsSeq:      c.traffic.ViewSeq,
 		Demands:       c.traffic.Demands,
-		Replica:       c.replicaID(),
-		Stopped:       c.stopped,
+
+		SegmentLosses:     losses,
+		CompletedSegments: completed,
+
+		Replica: c.replicaID(),
+		Stopped: c.stopped,
 	}
 }
 
@@ -189,13 +197,17 @@
 			delete(c.announcements, id)
 			continue
 		}
-		if a.receivedAt.Sub(c.m.started) >= c.reportedBefore {
+		if !c.confirmed(a.receivedAt) {
 			out = append(out, fleet.Announcement{Server: a.server, Age: age})
 		}
 	}
 	return out
 }
 
+// confirmed reports whether the leader knows what this process reported at the given
+// time.
+func (c *leaseClient) confirmed(at time.Time) bool { return at.Sub(c.m.started) < c.reportedBefore }
+
 func (c *leaseClient) tryNextReplica() {
 	replicas := c.replicas()
 	if len(replicas) == 0 {
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -74,6 +74,8 @@
 		m.proposals.submit(ev)
 	case TrafficReport:
 		m.leaseClient.onTraffic(ev)
+	case SegmentReport:
+		m.leaseClient.segments.observe(ev)
 	case Persisted:
 		m.replica.persisted(ev.Seq)
 	case OrderDone:
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -7,6 +7,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -35,6 +36,11 @@
 	LoadsTerm, LoadsSeq uint64
 	// Demands are the sender's demand per class.
 	Demands []fleet.Demand
+	// SegmentLosses are the engines that ended under the sender's requests, and
+	// CompletedSegments the suspects with which a response has completed, both as far
+	// as the leader has not confirmed them.
+	SegmentLosses     []quarantine.Loss
+	CompletedSegments []quarantine.Segment
 	// Replica is the consensus identity of the sender; empty if it runs no replica.
 	Replica consensus.ReplicaID
 	// Stopped is set in the last Renew of a process that has drained.
@@ -136,6 +142,15 @@
 	Demands           []fleet.Demand
 }
 
+// SegmentReport holds what this process's requests have shown about prompt segments
+// since the last report.
+type SegmentReport struct {
+	Losses []quarantine.Loss
+	// Completed are the suspects of the view with which a response has completed since
+	// the first loss.
+	Completed []quarantine.Segment
+}
+
 // Persisted reports that the batch with this sequence number is durable.
 type Persisted struct{ Seq uint64 }
 
@@ -170,6 +185,7 @@
 func (ReplicasChanged) event() {}
 func (Submit) event()          {}
 func (TrafficReport) event()   {}
+func (SegmentReport) event()   {}
 func (Persisted) event()       {}
 func (OrderDone) event()       {}
 func (Stop) event()            {}
--- /dev/null
+++ b/root/control/quarantine/tracker_test.go
@@ -0,0 +1,138 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+)
+
+const (
+	deadly quarantine.Segment = 1
+	shared quarantine.Segment = 2
+)
+
+var start = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// lose reports that the n-th engine ended under the segments.
+func lose(t *quarantine.Tracker, n int, seconds float64, segments ...quarantine.Segment) {
+	for _, s := range segments {
+		t.ObserveLoss(quarantine.Loss{Segment: s, Server: fmt.Sprint("engine-", n), Incarnation: 1, At: at(seconds)}, at(seconds))
+	}
+}
+
+func TestSegmentThatCrashesEnginesIsConvicted(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	lose(tracker, 1, 0, deadly, shared)
+	c.Assert(tracker.Suspects(), qt.HasLen, 0)
+	lose(tracker, 2, 1, deadly, shared)
+	c.Assert(tracker.Suspects(), qt.DeepEquals, []quarantine.Suspect{{Segment: deadly, Since: at(0)}, {Segment: shared, Since: at(0)}})
+	c.Assert(tracker.Clear(shared), qt.IsTrue)
+	lose(tracker, 3, 2, deadly, shared)
+	c.Assert(tracker.Convicted(at(2)), qt.DeepEquals, []quarantine.Segment{deadly})
+}
+
+// TestMassCrashConvictsNothing crashes many engines at once under a common segment.
+func TestMassCrashConvictsNothing(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	for n := range 20 {
+		lose(tracker, n, 0.01*float64(n), shared)
+	}
+	c.Assert(tracker.Suspects(), qt.HasLen, 0)
+	c.Assert(tracker.Convicted(at(60)), qt.HasLen, 0)
+}
+
+// TestFastCrashesAreObservedFirst leaves VMs the time to report complete responses.
+func TestFastCrashesAreObservedFirst(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	for n := range 4 {
+		lose(tracker, n, 0.3*float64(n), shared)
+	}
+	c.Assert(tracker.Convicted(at(0.9)), qt.HasLen, 0)
+	c.Assert(tracker.Convicted(at(1.3)), qt.HasLen, 1)
+	c.Assert(tracker.Clear(shared), qt.IsTrue)
+	c.Assert(tracker.Convicted(at(1.3)), qt.HasLen, 0)
+}
+
+// TestRepeatedReportsOfALossCountOnce covers reports that are sent again to a new
+// leader, and several entries that lose the same engine.
+func TestRepeatedReportsOfALossCountOnce(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	for i := range 5 {
+		lose(tracker, 1, float64(i), shared)
+	}
+	c.Assert(tracker.Suspects(), qt.HasLen, 0)
+	lose(tracker, 2, 6, shared)
+	c.Assert(tracker.Clear(shared), qt.IsTrue)
+	lose(tracker, 1, 7, shared)
+	lose(tracker, 2, 8, shared)
+	c.Assert(tracker.Suspects(), qt.HasLen, 0)
+}
+
+func TestOldLossesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	lose(tracker, 1, 0, deadly)
+	lose(tracker, 2, 1, deadly)
+	tracker.Expire(at(100))
+	c.Assert(tracker.Suspects(), qt.HasLen, 1)
+	tracker.Expire(at(200))
+	c.Assert(tracker.Suspects(), qt.HasLen, 0)
+}
+
+func TestQuarantineEnds(t *testing.T) {
+	c := qt.New(t)
+	s := quarantine.NewState()
+	c.Assert(s.Add([]quarantine.Segment{shared, deadly}, 1000) == nil, qt.IsTrue)
+	until := 1000 + quarantine.Duration.Milliseconds()
+	entries := s.Entries()
+	c.Assert(entries, qt.DeepEquals, []quarantine.Entry{{Segment: deadly, Until: until}, {Segment: shared, Until: until}})
+	restored, err := quarantine.Restore(entries)
+	c.Assert(err, qt.IsNil)
+	s.Expire(until - 1)
+	c.Assert(s.Has(deadly), qt.IsTrue)
+	s.Expire(until)
+	c.Assert(s.Entries(), qt.HasLen, 0)
+	c.Assert(restored.Has(deadly), qt.IsTrue)
+}
+
+func TestQuarantineIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s := quarantine.NewState()
+	for i := range quarantine.MaxEntries {
+		c.Assert(s.Add([]quarantine.Segment{quarantine.Segment(i)}, 0) == nil, qt.IsTrue)
+	}
+	err := s.Add([]quarantine.Segment{quarantine.MaxEntries}, 0)
+	c.Assert(fault.Is(err, fault.Overloaded), qt.IsTrue)
+	c.Assert(s.Add([]quarantine.Segment{0}, 0) == nil, qt.IsTrue)
+	_, restoreErr := quarantine.Restore(make([]quarantine.Entry, quarantine.MaxEntries+1))
+	c.Assert(fault.Is(restoreErr, fault.Corrupt), qt.IsTrue)
+}
+
+func TestListFindsSegments(t *testing.T) {
+	c := qt.New(t)
+	list := quarantine.List{
+		Quarantined: []quarantine.Entry{{Segment: 3, Until: 10}, {Segment: 5, Until: 20}, {Segment: 9, Until: 30}},
+		Suspects:    []quarantine.Suspect{{Segment: 2, Since: start}, {Segment: 8, Since: start}},
+	}
+	e, found := list.Find([]quarantine.Segment{4, 5})
+	c.Assert(found, qt.IsTrue)
+	c.Assert(e.Until, qt.Equals, int64(20))
+	_, found = list.Find([]quarantine.Segment{2, 4, 10})
+	c.Assert(found, qt.IsFalse)
+	c.Assert(list.HasSuspect([]quarantine.Segment{1, 8}), qt.IsTrue)
+	c.Assert(list.HasSuspect([]quarantine.Segment{3}), qt.IsFalse)
+	c.Assert(quarantine.Key("a", "1"), qt.Not(qt.Equals), quarantine.Key("b", "1"))
+}
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -40,6 +40,7 @@
 	s.index = index
 	s.now = max(s.now, c.timestamp())
 	s.ledger.Expire(s.now)
+	s.quarantine.Expire(s.now)
 	return c.apply(s, s.now)
 }
 
@@ -172,6 +173,10 @@
 	return Result{Version: s.routes.Version(), Routes: s.routes.Document()}
 }
 
+func (c QuarantineSegments) apply(s *State, now int64) Result {
+	return Result{Err: s.quarantine.Add(c.Segments, now)}
+}
+
 func (c Tick) apply(*State, int64) Result { return Result{} }
 
 func validateIDAndOperator(id, operator string) *fault.Error {
--- a/root/control/replicated/command.go
+++ b/root/control/replicated/command.go
@@ -4,6 +4,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -99,6 +100,14 @@
 	At int64
 }
 
+// QuarantineSegments keeps requests with these prompt segments from engines for
+// quarantine.Duration.
+type QuarantineSegments struct {
+	Segments []quarantine.Segment
+	// At is the time of the command in Unix milliseconds.
+	At int64
+}
+
 // Tick advances the time of the state, so that records expire while no other
 // commands are committed.
 type Tick struct {
@@ -127,11 +136,18 @@
 func (c ReadRoutes) timestamp() int64       { return c.At }
 func (c RecordFleet) timestamp() int64      { return c.At }
 
+func (c QuarantineSegments) timestamp() int64 { return c.At }
+
 func (c ChangeTable) withTimestamp(at int64) Command {
 	c.At = at
 	return c
 }
 
+func (c QuarantineSegments) withTimestamp(at int64) Command {
+	c.At = at
+	return c
+}
+
 func (c RecordFleet) withTimestamp(at int64) Command {
 	c.At = at
 	return c
--- a/root/control/replicated/state.go
+++ b/root/control/replicated/state.go
@@ -5,6 +5,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -45,6 +46,8 @@
 	fencing map[string]FencingSetting
 	routes  *routes.State
 	fleet   map[string]fleet.Server
+	// quarantine holds the prompt segments that are kept from engines.
+	quarantine *quarantine.State
 }
 
 // New returns the empty state, with the default limits of the ledger.
@@ -71,6 +74,8 @@
 		fencing:   make(map[string]FencingSetting),
 		routes:    new(routes.State),
 		fleet:     make(map[string]fleet.Server),
+
+		quarantine: quarantine.NewState(),
 	}, nil
 }
 
@@ -103,6 +108,9 @@
 // Routes returns the current routing document, or nil if there is none yet.
 func (s *State) Routes() *routes.Document { return s.routes.Document() }
 
+// Quarantine returns the prompt segments in quarantine, which must not be modified.
+func (s *State) Quarantine() *quarantine.State { return s.quarantine }
+
 // Ledger returns the ledger, which must not be modified.
 func (s *State) Ledger() *ledger.Ledger { return s.ledger }
 
@@ -124,6 +132,8 @@
 	// Routes is nil until there is a routing document.
 	Routes *routes.Document
 	Fleet  map[string]fleet.Server
+	// Quarantine holds the prompt segments in quarantine, sorted by segment.
+	Quarantine []quarantine.Entry
 }
 
 // Snapshot returns a snapshot of the current state, which later commands don't affect.
@@ -138,6 +148,8 @@
 		Fencing:   s.fencing,
 		Routes:    s.routes.Document(),
 		Fleet:     s.fleet,
+
+		Quarantine: s.quarantine.Entries(),
 	}
 }
 
@@ -162,7 +174,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &State{index: snap.Index, now: snap.Now, table: t, ledger: l, authority: a, routes: r}
+	q, err := quarantine.Restore(snap.Quarantine)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{index: snap.Index, now: snap.Now, table: t, ledger: l, authority: a, routes: r, quarantine: q}
 	s.drains = nonNilMap(snap.Drains)
 	s.fencing = nonNilMap(snap.Fencing)
 	s.fleet = nonNilMap(snap.Fleet)
--- a/root/control/view/tracker.go
+++ b/root/control/view/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -31,6 +32,8 @@
 	vms     changeSeqs
 	// tableSeq is the sequence number at which the table last changed.
 	tableSeq uint64
+	// segmentsSeq is the sequence number at which the segments last changed.
+	segmentsSeq uint64
 	// documents are the latest routing documents without their sources, oldest first.
 	documents []*routes.Document
 	// deltas caches the deltas to the current document by the version they start
@@ -107,7 +110,7 @@
 // elements, so that the caller must not use them afterwards.
 func (c *ChangeTracker) Set(t table.Table, r *routes.Document, servers []fleet.Server, vms []fleet.VM) bool {
 	seq := c.current.Seq + 1
-	next := &View{Term: c.current.Term, Seq: seq, Table: t, Routes: c.current.Routes, Servers: servers, VMs: vms}
+	next := &View{Term: c.current.Term, Seq: seq, Table: t, Routes: c.current.Routes, Servers: servers, VMs: vms, Segments: c.current.Segments}
 	changed := c.current.Seq == 0
 	if changed || t.Version != c.current.Table.Version {
 		c.tableSeq = seq
@@ -127,6 +130,21 @@
 	return changed
 }
 
+// SetSegments replaces the segments of the view and reports whether they changed. It
+// takes over the lists.
+func (c *ChangeTracker) SetSegments(l quarantine.List) bool {
+	if l.SameAs(c.current.Segments) {
+		return false
+	}
+	next := *c.current
+	next.Seq++
+	next.Segments = l
+	c.segmentsSeq = next.Seq
+	c.current = &next
+	c.updates = nil
+	return true
+}
+
 // withoutSource returns a copy of the document without its source, which views omit.
 func withoutSource(d *routes.Document) *routes.Document {
 	out := *d
@@ -247,6 +265,10 @@
 		t := c.current.Table
 		u.Table = &t
 	}
+	if c.segmentsSeq > have.Seq {
+		segments := c.current.Segments
+		u.Segments = &segments
+	}
 	u.Servers = changedSince(c.current.Servers, c.servers.attributes, have.Seq, serverID)
 	u.VMs = changedSince(c.current.VMs, c.vms.attributes, have.Seq, vmID)
 	if !c.partial {
--- a/root/control/view/update.go
+++ b/root/control/view/update.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -20,6 +21,8 @@
 	// the receiver's version. At most one is set; neither if the receiver is current.
 	Routes      *routes.Document
 	RoutesDelta *routes.Delta
+	// Segments is nil if the segments have not changed since Base.
+	Segments *quarantine.List
 	// Partial is set in a full update whose sender may not know all members yet. The
 	// receiver then keeps the servers and VMs that the update does not list.
 	Partial bool
@@ -47,8 +50,8 @@
 
 // FullUpdate returns an update with the complete contents of v.
 func FullUpdate(v *View) *Update {
-	t := v.Table
-	return &Update{Term: v.Term, Seq: v.Seq, Table: &t, Routes: v.Routes, Servers: v.Servers, VMs: v.VMs}
+	t, segments := v.Table, v.Segments
+	return &Update{Term: v.Term, Seq: v.Seq, Table: &t, Routes: v.Routes, Servers: v.Servers, VMs: v.VMs, Segments: &segments}
 }
 
 // Apply returns the updated view. It reports false if cur is already as new as the
@@ -64,6 +67,10 @@
 	if next.Routes, ok = u.routesAfter(cur.Routes); !ok {
 		return nil, false
 	}
+	next.Segments = cur.Segments
+	if u.Segments != nil {
+		next.Segments = *u.Segments
+	}
 	if u.Base == 0 {
 		u.applyFull(cur, next)
 		return next, true
--- a/root/control/view/view.go
+++ b/root/control/view/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 )
@@ -22,6 +23,8 @@
 	Routes  *routes.Document
 	Servers []fleet.Server
 	VMs     []fleet.VM
+	// Segments are the prompt segments on which engines crash, or may crash.
+	Segments quarantine.List
 	// LeaseUntil is the local time at which the view lease expires. No new work may
 	// start afterwards unless LeaseOptional is set.
 	LeaseUntil time.Time
--- a/root/metrics.go
+++ b/root/metrics.go
@@ -23,13 +23,14 @@
 // gauges returns the gauges by name. Their functions run at each scrape.
 func (p *Process) gauges() map[string]func() float64 {
 	out := map[string]func() float64{
-		"wagtaildyke_view_term":          func() float64 { return float64(p.viewOrEmpty().Term) },
-		"wagtaildyke_view_lease_seconds": func() float64 { return time.Until(p.viewOrEmpty().LeaseUntil).Seconds() },
-		"wagtaildyke_backend_servers":    func() float64 { return float64(len(p.viewOrEmpty().Servers)) },
-		"wagtaildyke_routes_version":     p.routesVersion,
-		"wagtaildyke_peer_sessions":      func() float64 { return float64(p.mesh.Stats().Sessions) },
-		"wagtaildyke_peer_sent_bytes":    func() float64 { return float64(p.mesh.Stats().SentBytes) },
-		"wagtaildyke_control_steps":      func() float64 { return float64(p.loop.Stats().Steps) },
+		"wagtaildyke_view_term":            func() float64 { return float64(p.viewOrEmpty().Term) },
+		"wagtaildyke_view_lease_seconds":   func() float64 { return time.Until(p.viewOrEmpty().LeaseUntil).Seconds() },
+		"wagtaildyke_backend_servers":      func() float64 { return float64(len(p.viewOrEmpty().Servers)) },
+		"wagtaildyke_routes_version":       p.routesVersion,
+		"wagtaildyke_quarantined_segments": func() float64 { return float64(len(p.viewOrEmpty().Segments.Quarantined)) },
+		"wagtaildyke_peer_sessions":        func() float64 { return float64(p.mesh.Stats().Sessions) },
+		"wagtaildyke_peer_sent_bytes":      func() float64 { return float64(p.mesh.Stats().SentBytes) },
+		"wagtaildyke_control_steps":        func() float64 { return float64(p.loop.Stats().Steps) },
 	}
 	if p.listeners.Platform.Frontend != nil {
 		out["wagtaildyke_log_lines_dropped"] = func() float64 { return float64(p.routed.LogLinesDropped()) }
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -60,6 +60,10 @@
 	}
 	outcome := placement.Lost
 	defer func() { r.endAttempt(lease, outcome, err) }()
+	if err := r.checkQuarantine(); err != nil {
+		outcome = placement.Abandoned
+		return err
+	}
 	head, handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
 	r.prefills++
 	r.observeNotice(lease, head)
@@ -73,6 +77,7 @@
 		outcome = placement.Abandoned
 		return fault.From(err)
 	}
+	r.observeLoss(lease.Server(), err)
 	r.prefillFailed(lease.Server().ID, err)
 	return nil
 }
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -133,6 +133,8 @@
 	RetryBudget *RetryBudget
 	// Observer counts attempts by outcome.
 	Observer Observer
+	// Segments observes the prompt segments of requests.
+	Segments SegmentObserver
 	// Random returns a random number in [0,1).
 	Random func() float64
 	// MaxBodyBytes limits the body of a request while the routes set no limit.
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
@@ -41,6 +42,10 @@
 	exclude []string
 	// segments are the segments of the prompt with chained hashes.
 	segments []placement.Segment
+	// held are the shared segments of the prompt; see heldSegments.
+	held []quarantine.Segment
+	// engineEnded is set once an engine has ended under the request.
+	engineEnded bool
 	// cache is a prefilled KV cache that no engine has fetched yet. prefills counts the
 	// prefill calls.
 	cache    *CacheHandle
@@ -79,6 +84,9 @@
 // which says nothing about the server, if ctx has ended or the retry budget does not
 // permit sending the request.
 func (r *requestRun) attempt(ctx context.Context) (done bool, err error) {
+	if err := r.checkQuarantine(); err != nil {
+		return true, r.finalError(ctx, err)
+	}
 	if err := r.prefill(ctx); err != nil {
 		return true, r.finalError(ctx, fault.From(err))
 	}
@@ -95,8 +103,13 @@
 		defer resp.Close()
 		outcome, err = r.deliver(lease, resp, watch)
 	}
-	if err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted)) {
+	switch {
+	case err == nil && outcome == placement.Answered:
+		r.Segments.Completed(r.heldSegments())
+	case err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)):
 		outcome = placement.Abandoned
+	case outcome == placement.Lost:
+		r.observeLoss(lease.Server(), err)
 	}
 	return fault.Is(err, fault.Cancelled), err
 }
@@ -127,20 +140,6 @@
 	r.Log.Info("attempt ended", fields...)
 }
 
-// maxLoggedSegments bounds the segments of one prompt in the log.
-const maxLoggedSegments = 64
-
-// segmentNames returns the ids of the shared segments of the prompt. The last segment
-// belongs to the request alone.
-func (r *requestRun) segmentNames() []string {
-	var out []string
-	segments := r.req.Prompt.Segments
-	for i := range min(len(segments)-1, maxLoggedSegments) {
-		out = append(out, segments[i].ID)
-	}
-	return out
-}
-
 // succeededInTime reports whether an attempt succeeded and ended within the route's
 // latency objective after the request arrived. A stream ends with its last event.
 func (r *requestRun) succeededInTime(outcome placement.Outcome, err error) bool {
@@ -191,6 +190,9 @@
 // before, it needs a retry from the retry budget.
 func (r *requestRun) send(ctx context.Context, lease *placement.Lease) (Response, error) {
 	server := lease.Server()
+	if err := r.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	if r.transmissions > 0 && !r.retryReserved.Swap(false) && !r.RetryBudget.Take(r.service.Name, time.Now()) {
 		return nil, r.errRetryBudget()
 	}
@@ -258,7 +260,7 @@
 
 // mayRetry reports whether the request may be sent to another server after a failure.
 func (r *requestRun) mayRetry(ctx context.Context, failed *fault.Error) bool {
-	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || !r.attemptsLeft() {
+	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || fault.Is(failed, fault.Quarantined) || !r.attemptsLeft() || r.mayCrashAnother() {
 		return false
 	}
 	return r.route.Idempotent() || (failed.Ran == fault.RanNo && r.ran == fault.RanNo)
--- /dev/null
+++ b/root/traffic/relay/segments.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/fault"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+)
+
+// SegmentObserver observes what requests show about the prompt segments that they hold.
+type SegmentObserver interface {
+	// Lost records that an engine ended under a request with these segments.
+	Lost(held []quarantine.Segment, s fleet.Server)
+	// Completed records that a response to a request with these segments has completed.
+	Completed(held []quarantine.Segment)
+}
+
+// maxHeldSegments bounds the segments of one prompt that are observed. Those at its start
+// are shared most.
+const maxHeldSegments = 64
+
+// heldSegments returns the shared segments of the prompt, each once. The last segment
+// belongs to the request alone.
+func (r *requestRun) heldSegments() []quarantine.Segment {
+	if r.held != nil || r.service.Engine == nil {
+		return r.held
+	}
+	segments := r.req.Prompt.Segments
+	for i := range min(len(segments)-1, maxHeldSegments) {
+		if key := quarantine.Key(r.service.Name, segments[i].ID); !slices.Contains(r.held, key) {
+			r.held = append(r.held, key)
+		}
+	}
+	return r.held
+}
+
+// segmentNames returns the shared segments of the prompt for the log: each with its id
+// and the key under which views and errors name it.
+func (r *requestRun) segmentNames() []string {
+	var out []string
+	segments := r.req.Prompt.Segments
+	for i := range min(len(segments)-1, maxHeldSegments) {
+		out = append(out, segments[i].ID+"="+quarantine.Key(r.service.Name, segments[i].ID).String())
+	}
+	return out
+}
+
+// checkQuarantine returns an error if engines crash on a segment of the prompt. It is
+// called before each transmission, because other entries may have found the segment while
+// the request waited.
+func (r *requestRun) checkQuarantine() *fault.Error {
+	v := r.Views.Load()
+	entry, found := v.Segments.Find(r.heldSegments())
+	if !found {
+		return nil
+	}
+	err := fault.New(fault.Quarantined, part, "engines crash on segment %s of the prompt", entry.Segment)
+	return err.WithRetryAfter(max(defaultRetry, time.Until(time.UnixMilli(entry.Until))))
+}
+
+// observeLoss reports an engine that ended under the request: it closed the connection
+// before its response was complete.
+func (r *requestRun) observeLoss(server fleet.Server, err error) {
+	if held := r.heldSegments(); len(held) > 0 && engine.ClosedByPeer(err) {
+		r.engineEnded = true
+		r.Segments.Lost(held, server)
+	}
+}
+
+// mayCrashAnother reports whether an engine has ended under the request and others have
+// ended under one of its segments.
+func (r *requestRun) mayCrashAnother() bool {
+	return r.engineEnded && r.Views.Load().Segments.HasSuspect(r.heldSegments())
+}
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -11,6 +11,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/relay"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/usage"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -60,12 +61,14 @@
 func NewRouted(o RoutedOptions) *Routed {
 	node := o.Parent.Supervisor("traffic")
 	transport := engine.NewTransport()
+	observer := segments.NewObserver(o.Loop, o.Views)
 	requestRelay := relay.New(relay.Options{
 		Views:        o.Views,
 		Placer:       o.Placer,
 		Backend:      o.Backend(transport),
 		RetryBudget:  o.RetryBudget,
 		Observer:     o.Observer,
+		Segments:     observer,
 		Random:       o.Random,
 		Started:      o.Started,
 		MaxBodyBytes: o.MaxBodyBytes,
@@ -82,6 +85,7 @@
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
+	node.Service("segments", observer)
 	node.Service("frontdoor", t.Server)
 	return t
 }
--- /dev/null
+++ b/root/traffic/segments/state_test.go
@@ -0,0 +1,53 @@
+package segments_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
+)
+
+var start = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+
+func TestOnlyLaterCompletionsClearASuspect(t *testing.T) {
+	c := qt.New(t)
+	s := segments.NewState()
+	s.Completed([]quarantine.Segment{1, 2}, start)
+	s.Completed([]quarantine.Segment{2}, start.Add(2*time.Second))
+	suspects := []quarantine.Suspect{
+		{Segment: 1, Since: start.Add(time.Second)}, {Segment: 2, Since: start.Add(time.Second)}, {Segment: 3, Since: start},
+	}
+	report, ok := s.Report(suspects)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(report.Completed, qt.DeepEquals, []quarantine.Segment{2})
+	c.Assert(report.Losses, qt.HasLen, 0)
+	_, ok = s.Report(suspects[:1])
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestLossesAreReportedOnceAndBounded(t *testing.T) {
+	c := qt.New(t)
+	s := segments.NewState()
+	for range 1000 {
+		s.Lost([]quarantine.Segment{1, 2}, "engine-1", 7, start)
+	}
+	report, ok := s.Report(nil)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(report.Losses, qt.HasLen, 256)
+	c.Assert(report.Losses[1], qt.Equals, quarantine.Loss{Segment: 2, Server: "engine-1", Incarnation: 7, At: start})
+	_, ok = s.Report(nil)
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestOldestCompletionsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	s := segments.NewState()
+	for i := range 10_000 {
+		s.Completed([]quarantine.Segment{quarantine.Segment(i)}, start.Add(time.Second))
+	}
+	report, _ := s.Report([]quarantine.Suspect{{Segment: 0, Since: start}, {Segment: 9_999, Since: start}})
+	c.Assert(report.Completed, qt.DeepEquals, []quarantine.Segment{9_999})
+}
--- a/root/view_log.go
+++ b/root/view_log.go
@@ -1,15 +1,20 @@
 package root
 
 import (
+	"slices"
+	"time"
+
 	"github.com/go-logr/logr"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
 // logViewChanges logs what changed between two consecutive views: the leader's term,
-// the routing document, backend servers, and VMs that are new or changed state. It
-// does not log changes of the table or the removal of VMs.
+// the routing document, prompt segments on which engines crash, backend servers, and VMs
+// that are new or changed state. It does not log changes of the table or the removal of
+// VMs.
 func (p *Process) logViewChanges(old, next *view.View) {
 	if old == nil {
 		old = &view.View{}
@@ -21,10 +26,35 @@
 	if next.Routes != nil && (old.Routes == nil || old.Routes.Version != next.Routes.Version) {
 		log.Info("routing document changed", "version", next.Routes.Version, "routes", len(next.Routes.Routes))
 	}
+	logSegmentChanges(log, old.Segments, next.Segments)
 	logServerChanges(log, old.Servers, next.Servers)
 	logVMChanges(log, old.VMs, next.VMs)
 }
 
+func logSegmentChanges(log logr.Logger, old, next quarantine.List) {
+	for _, e := range next.Quarantined {
+		if _, known := old.Find([]quarantine.Segment{e.Segment}); !known {
+			log.Info("prompt segment quarantined", "segment", e.Segment.String(), "until", time.UnixMilli(e.Until).UTC())
+		}
+	}
+	for _, e := range old.Quarantined {
+		if _, remains := next.Find([]quarantine.Segment{e.Segment}); !remains {
+			log.Info("prompt segment released", "segment", e.Segment.String())
+		}
+	}
+	if suspects := suspectNames(next); !slices.Equal(suspects, suspectNames(old)) {
+		log.Info("suspected prompt segments changed", "segments", suspects)
+	}
+}
+
+func suspectNames(l quarantine.List) []string {
+	out := []string{}
+	for _, s := range l.Suspects {
+		out = append(out, s.Segment.String())
+	}
+	return out
+}
+
 func logServerChanges(log logr.Logger, old, next []fleet.Server) {
 	before := make(map[string]fleet.Server, len(old))
 	for _, s := range old {
