--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,8 +68,6 @@
 	maxInterimResponses = 16
 	// maxLateResponses bounds the late responses to earlier requests.
 	maxLateResponses = 8
-	// maxAnsweredIDs bounds the ids by which late responses are recognized.
-	maxAnsweredIDs = 16
 )
 
 var errHeadTooLarge = errors.New("response head is too large")
@@ -98,9 +95,10 @@
 // readHead reads the head of the response to the request. It skips interim (1xx)
 // responses, and late copies of earlier responses on the connection with their bodies.
 //
-// A response without an id is accepted on a new connection only, which then isn't
-// reused: on a reused one it may be a late copy of an earlier response. A response to a
-// request that was never sent on the connection means that the server mixes up its
+// A response with the id of the request is accepted: a connection carries each id once,
+// see mayCarry. A response without an id is accepted on a new connection only, which then
+// isn't reused: on a reused one it may be a late copy of an earlier response. A response
+// to a request that was never sent on the connection means that the server mixes up its
 // responses, and that the right one need not follow.
 func (c *conn) readHead(req RawRequest) (*http.Response, error) {
 	late := 0
@@ -115,10 +113,10 @@
 		switch id := req.ResponseID(resp.Header); {
 		case id == req.ID:
 			return resp, nil
-		case id == "" && len(c.answered) == 0:
+		case id == "" && len(c.sent) == 1:
 			c.unidentified = true
 			return resp, nil
-		case !slices.Contains(c.answered, id) || late == maxLateResponses:
+		case id == "" || !c.carried(id) || late == maxLateResponses:
 			c.transport.stats.unsolicited.Add(1)
 			return nil, fault.New(fault.OutcomeUnknown, part, "the server responded to another request")
 		}
@@ -143,14 +141,6 @@
 	return nil, fault.New(fault.OutcomeUnknown, part, "more than %d interim responses", maxInterimResponses)
 }
 
-// addAnswered records that the current request was answered.
-func (c *conn) addAnswered() {
-	c.answered = append(c.answered, c.requestID)
-	if len(c.answered) > maxAnsweredIDs {
-		c.answered = slices.Delete(c.answered, 0, 1)
-	}
-}
-
 // responseBody returns its connection to the pool when the exchange is complete.
 type responseBody struct {
 	io.ReadCloser
@@ -176,12 +166,13 @@
 
 // Close ends the exchange. The connection is reused only if the response was read
 // completely and had an id, requestWritten reports true, the server keeps the connection
-// open, and no further bytes have arrived on it; otherwise it is closed. Close must be called
-// only once: a second call closes the connection, which may carry another request by
-// then.
+// open, no further bytes have arrived on it, and it has carried fewer than
+// maxRequestsPerConn requests; otherwise it is closed. Close must be called only once: a
+// second call closes the connection, which may carry another request by then.
 func (b *responseBody) Close() error {
 	active := b.stop()
-	if !active || !b.complete || b.resp.Close || b.conn.unidentified || !b.requestWritten() {
+	reusable := !b.conn.unidentified && len(b.conn.sent) < maxRequestsPerConn
+	if !active || !b.complete || b.resp.Close || !reusable || !b.requestWritten() {
 		return b.conn.Close()
 	}
 	timeout := idleTimeout(b.resp.Header)
@@ -192,7 +183,6 @@
 	if timeout <= 0 {
 		return b.conn.Close()
 	}
-	b.conn.addAnswered()
 	b.conn.transport.putIdle(b.conn, timeout)
 	return nil
 }
--- a/root/traffic/engine/transport.go
+++ b/root/traffic/engine/transport.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,9 @@
 	// maxInlineBody is the largest body that is written before the response is
 	// read: it fits the socket buffers, so the write doesn't block.
 	maxInlineBody = 8 << 10
+	// maxRequestsPerConn bounds the requests with ids that one connection carries, and so
+	// the ids that are kept for it.
+	maxRequestsPerConn = 1024
 	// readBufferSize is the size of the read buffers of connections and of
 	// VerbatimReader.
 	readBufferSize = 4 << 10
@@ -45,7 +50,7 @@
 	Body          []byte
 	// ID identifies the request, and ResponseID returns the id of the request that a
 	// response with the given header answers, or an empty string if it names none. With
-	// a nil ResponseID any response is accepted. See readHead.
+	// a nil ResponseID, ID is not used and any response is accepted. See readHead.
 	ID         string
 	ResponseID func(http.Header) string
 	// NewConnection rules out idle connections, which the server may close just as the
@@ -63,6 +68,8 @@
 	// pools is keyed by address.
 	pools map[string]*connPool
 	stats transportCounters
+	// idSeed is the seed of the hashes of ids.
+	idSeed maphash.Seed
 	// bodies counts the memory of the response bodies that are being read.
 	bodies bodyMemory
 }
@@ -93,7 +100,7 @@
 
 // NewTransport returns a transport without connections.
 func NewTransport() *Transport {
-	return &Transport{dialer: sockets.Dialer(dialTimeout, ackTimeout), pools: map[string]*connPool{}}
+	return &Transport{dialer: sockets.Dialer(dialTimeout, ackTimeout), pools: map[string]*connPool{}, idSeed: maphash.MakeSeed()}
 }
 
 // Stats returns the counters.
@@ -112,16 +119,29 @@
 	closed    atomic.Bool
 	// limit bounds the size of heads that r reads.
 	limit *limitedReader
-	// answered holds the ids of the latest requests that were answered on the connection,
-	// newest last.
-	answered []string
+	// sent holds the hashes of the ids of the requests that were sent on the connection,
+	// the current one included; it is empty if they have no ids.
+	sent []uint64
 	// unidentified is set by a response without an id. A later one could then not be
 	// told from a late copy of it.
 	unidentified bool
-	// requestID is the id of the current request.
-	requestID string
 }
 
+// mayCarry reports whether an idle connection may carry a request. Late copies of earlier
+// responses are recognized by their ids, so the id of the request must be new to the
+// connection, and requests without ids have connections of their own.
+func (c *conn) mayCarry(req RawRequest) bool {
+	if req.ResponseID == nil {
+		return len(c.sent) == 0
+	}
+	return len(c.sent) > 0 && !c.carried(req.ID)
+}
+
+// carried reports whether a request with the id was sent on the connection.
+func (c *conn) carried(id string) bool { return slices.Contains(c.sent, c.hashID(id)) }
+
+func (c *conn) hashID(id string) uint64 { return maphash.String(c.transport.idSeed, id) }
+
 // Close closes the connection and removes it from the count of open ones. Further
 // calls do nothing.
 func (c *conn) Close() error {
@@ -141,11 +161,13 @@
 // address; 0 means no limit. If ctx ends before the body is closed, the connection
 // is closed. The error is a *SendError.
 func (t *Transport) Do(ctx context.Context, address string, maxConns int, req RawRequest) (*http.Response, error) {
-	c, err := t.getConn(ctx, address, maxConns, req.NewConnection)
+	c, err := t.getConn(ctx, address, maxConns, req)
 	if err != nil {
 		return nil, &SendError{NotSent: true, Err: err}
 	}
-	c.requestID = req.ID
+	if req.ResponseID != nil {
+		c.sent = append(c.sent, c.hashID(req.ID))
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.send(req)
 	if written.err != nil && written.n == 0 {
@@ -163,12 +185,12 @@
 	return resp, nil
 }
 
-// getConn returns a usable idle connection, unless fresh is set, or a new one. An idle
-// connection is usable until its idle timeout, as long as the server has neither sent
+// getConn returns a usable idle connection that may carry the request, or a new one. An
+// idle connection is usable until its idle timeout, as long as the server has neither sent
 // bytes nor closed it.
-func (t *Transport) getConn(ctx context.Context, address string, maxConns int, fresh bool) (*conn, error) {
-	for !fresh {
-		c := t.popIdle(address)
+func (t *Transport) getConn(ctx context.Context, address string, maxConns int, req RawRequest) (*conn, error) {
+	for !req.NewConnection {
+		c := t.popIdle(address, req)
 		if c == nil {
 			break
 		}
@@ -181,17 +203,19 @@
 	return t.dial(ctx, address, maxConns)
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (t *Transport) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that may carry the
+// request, or nil.
+func (t *Transport) popIdle(address string, req RawRequest) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pool(address)
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(req) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 // pool returns the pool of an address. t.mu must be held.
@@ -204,16 +228,25 @@
 	return p
 }
 
-// dial opens a connection within the limit maxConns.
+// dial opens a connection within the limit maxConns. At the limit it closes the least
+// recently used idle connection first; idle ones that are left may not carry the request.
 func (t *Transport) dial(ctx context.Context, address string, maxConns int) (*conn, error) {
 	t.mu.Lock()
 	p := t.pool(address)
+	var replaced *conn
 	if maxConns > 0 && p.open >= maxConns {
-		t.mu.Unlock()
-		return nil, errTooManyConns
+		if len(p.idle) == 0 {
+			t.mu.Unlock()
+			return nil, errTooManyConns
+		}
+		replaced = p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 	p.open++
 	t.mu.Unlock()
+	if replaced != nil {
+		replaced.Close()
+	}
 	raw, err := t.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		t.mu.Lock()
