--- a/root/traffic/engine/verbatim.go
+++ b/root/traffic/engine/verbatim.go
@@ -16,6 +16,8 @@
 	// ID is the value of the last id field; 0 if there is none, or it is not a number or
 	// out of range.
 	ID uint64
+	// Comment is set if all lines are comments or blank.
+	Comment bool
 }
 
 // VerbatimReader splits a stream into events without changing their bytes.
@@ -31,7 +33,7 @@
 // kind fault.StreamCut, which does not wrap io.EOF. Lines may have any length, as long
 // as the event has at most maxEventBytes.
 func (v *VerbatimReader) Next() (VerbatimEvent, error) {
-	var ev VerbatimEvent
+	ev := VerbatimEvent{Comment: true}
 	lineStart := 0
 	for {
 		piece, err := v.r.ReadSlice('\n')
@@ -53,6 +55,7 @@
 		if len(line) == 0 {
 			return ev, nil
 		}
+		ev.Comment = ev.Comment && line[0] == ':'
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.ID = parseEventNumber(value)
 		}
--- a/root/traffic/relay/deliver.go
+++ b/root/traffic/relay/deliver.go
@@ -22,6 +22,7 @@
 		return r.streamEvents(lease, resp, watch)
 	}
 	if r.headSent {
+		r.exclude = append(r.exclude, server)
 		return placement.Errored, fault.New(fault.StreamCut, part, "server %s did not resume the stream", server)
 	}
 	body, err := resp.Body()
@@ -44,21 +45,29 @@
 const minFailureStatus = 500
 
 // streamEvents relays events until the stream ends or fails. A resumed stream may
-// repeat events; those that the caller has are skipped.
+// repeat events; those that the caller has are skipped. It fails if it does not continue
+// what the caller has.
 func (r *requestRun) streamEvents(lease *placement.Lease, resp Response, watch *watchdog) (placement.Outcome, error) {
+	r.position.begin()
 	for {
 		ev, err := resp.Next()
 		// An error that wraps io.EOF is a stream that was cut.
 		if err == io.EOF {
+			if err := r.position.end(); err != nil {
+				return r.streamFailed(lease, err)
+			}
 			return placement.Answered, r.finishStream(resp)
 		}
 		if err != nil {
-			r.exclude = append(r.exclude, lease.Server().ID)
-			return placement.Lost, err
+			return r.streamFailed(lease, err)
 		}
 		lease.MarkFirstOutput()
 		watch.disarm()
-		if ev.ID > 0 && ev.ID <= r.lastEventID {
+		send, err := r.position.accept(ev)
+		if err != nil {
+			return r.streamFailed(lease, err)
+		}
+		if !send {
 			continue
 		}
 		if err := r.sendEvent(resp, ev); err != nil {
@@ -67,6 +76,11 @@
 	}
 }
 
+func (r *requestRun) streamFailed(lease *placement.Lease, err error) (placement.Outcome, error) {
+	r.exclude = append(r.exclude, lease.Server().ID)
+	return placement.Lost, err
+}
+
 // sendEvent writes one event to the caller, and before the first event the head of
 // the response.
 func (r *requestRun) sendEvent(resp Response, ev engine.VerbatimEvent) error {
@@ -76,9 +90,6 @@
 			return sinkError(err)
 		}
 	}
-	if ev.ID > 0 {
-		r.lastEventID = ev.ID
-	}
 	return sinkError(r.sink.WriteEvent(ev))
 }
 
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -180,7 +180,8 @@
 	if err != nil {
 		return err
 	}
-	run := &requestRun{Relay: r, req: req, route: route, service: service, routesVersion: version, sink: sink, lastEventID: req.LastEventID}
+	run := &requestRun{Relay: r, req: req, route: route, service: service, routesVersion: version, sink: sink}
+	run.position = streamPosition{lastID: req.LastEventID, before: req.LastEventID}
 	run.deadline = req.Arrived.Add(route.Timeout)
 	if req.Timeout > 0 && req.Timeout < route.Timeout {
 		run.deadline = req.Arrived.Add(req.Timeout)
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -33,8 +33,8 @@
 	// transmissions counts the transmissions of which a server may have received a
 	// part, including failed prefill calls but not successful ones.
 	transmissions int
-	// lastEventID is the number of the last event that the caller has.
-	lastEventID uint64
+	// position is the position of the caller in a stream.
+	position streamPosition
 	// headSent is set once the head of a stream is written to the caller.
 	headSent bool
 	// exclude lists the servers that failed this request.
@@ -191,7 +191,7 @@
 	return Transmission{
 		Request:        r.req,
 		Deadline:       r.deadline,
-		LastEventID:    r.lastEventID,
+		LastEventID:    r.position.lastID,
 		Priority:       r.route.Priority,
 		Cache:          r.cache,
 		CopyFrom:       copyFrom,
@@ -231,7 +231,7 @@
 
 // mayRetry reports whether the request may be sent to another server after a failure.
 func (r *requestRun) mayRetry(ctx context.Context, failed *fault.Error) bool {
-	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || !r.attemptsLeft() {
+	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || !r.attemptsLeft() || !r.position.resumable() {
 		return false
 	}
 	return r.route.Idempotent() || (failed.Ran == fault.RanNo && r.ran == fault.RanNo)
