--- a/root/traffic/frontdoor/requests.go
+++ b/root/traffic/frontdoor/requests.go
@@ -94,10 +94,8 @@
 		h.OnError(class.Name, fault.KindOf(err))
 		h.Log.Info("response aborted", "request", id, "class", class.Name, "reason", err.Error())
 		sink.writeErrorEvent(fault.From(err))
-		if !sink.stream {
-			// Closes the connection, so that the caller detects the truncated body.
-			panic(http.ErrAbortHandler)
-		}
+		// Closes the connection, so that the caller detects the truncated body.
+		panic(http.ErrAbortHandler)
 	default:
 		h.writeError(w, id, class.Name, err)
 	}
