--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -70,17 +71,33 @@
 	maxLateResponses = 8
 )
 
-var errHeadTooLarge = errors.New("response head is too large")
+// Errors of responses that can't be read. Unlike those of net/http, they don't quote the
+// server's bytes, which belong to no caller.
+var (
+	errHeadTooLarge     = errors.New("response head is too large")
+	errHeadMalformed    = errors.New("response head is malformed")
+	errTrailerMalformed = errors.New("trailer of the response is malformed")
+)
 
 // limitedReader reads from r. While bounded is set, it reads at most left more bytes.
 type limitedReader struct {
 	r       io.Reader
 	bounded bool
 	left    int
+	// err is the first error of Read.
+	err error
 }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.read(p)
+	if l.err == nil {
+		l.err = err
+	}
+	return n, err
+}
+
+func (l *limitedReader) read(p []byte) (int, error) {
 	if !l.bounded {
 		return l.r.Read(p)
 	}
@@ -92,6 +109,19 @@
 	return n, err
 }
 
+// headError returns the error for a head that can't be read: what ended it, or else that
+// it is malformed.
+func (l *limitedReader) headError() error {
+	switch l.err {
+	case nil:
+		return errHeadMalformed
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return l.err
+	}
+}
+
 // readHead reads the head of the response to the request. It skips interim (1xx)
 // responses, and late copies of earlier responses on the connection with their bodies.
 //
@@ -134,8 +164,11 @@
 	for range maxInterimResponses {
 		c.limit.bounded, c.limit.left = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, c.limit.headError()
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 	}
 	return nil, fault.New(fault.OutcomeUnknown, part, "more than %d interim responses", maxInterimResponses)
@@ -161,6 +194,10 @@
 	if err == io.EOF {
 		b.complete = true
 	}
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		err = errTrailerMalformed
+	}
 	return n, err
 }
 
--- a/root/traffic/frontdoor/join_test.go
+++ b/root/traffic/frontdoor/join_test.go
@@ -85,6 +85,10 @@
 		"a refusal":                    {answer("503 Service Unavailable", engine.RanHeader+": no\r\n", "servertext"), []string{"a", "b"}},
 		"an answer that is no stream":  {answer("200 OK", "", "servertext"), []string{"a", "b"}},
 		"half a head":                  {head[:40], []string{"a", "b"}},
+		"a line of noise":              {"servertext\n", []string{"a", "b"}},
+		"noise in a head":              {"HTTP/1.1 200 OK\r\nservertext\r\n\r\n", []string{"a", "b"}},
+		"noise in a trailer":           {head + "0\r\nservertext\r\n\r\n", []string{"a", "b"}},
+		"noise":                        {"servertext", []string{"a", "b"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
