--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -34,6 +34,9 @@
 	// ResumeAfter is the number of events already received, after which the
 	// stream resumes; 0 requests the stream from its start.
 	ResumeAfter int
+	// Sent holds the numbered events already received, which the response adds to; events
+	// that a server repeats must be the same. With nil they are not compared.
+	Sent *SentEvents
 	// AtMostOnce sends the call on a new connection. An idle one may be closed by the
 	// server just as the call arrives, which leaves its outcome unknown.
 	AtMostOnce bool
--- a/root/traffic/engine/http.go
+++ b/root/traffic/engine/http.go
@@ -136,7 +136,8 @@
 func (r *httpResponse) Body() ([]byte, error) { return r.client.transport.ReadBody(r.resp.Body) }
 
 // Next returns the next event in order. Events of another request and duplicate
-// events are discarded and counted; a gap in the numbers is an error.
+// events are discarded and counted. A gap in the numbers is an error, and so is an event
+// that differs from the one received with the same number.
 func (r *httpResponse) Next() (Event, error) {
 	for {
 		ev, err := r.events.next()
@@ -150,6 +151,8 @@
 		switch {
 		case !ok || id != r.call.RequestID:
 			r.client.stats.mismatched.Add(1)
+		case n <= r.received && r.call.Sent != nil && !r.call.Sent.Contains(uint64(n), ev.data):
+			return Event{}, fault.New(fault.StreamCut, part, "event %d differs from the one received", n)
 		case n <= r.received:
 			r.client.stats.duplicate.Add(1)
 		case n > r.received+1:
@@ -157,6 +160,9 @@
 		default:
 			r.received = n
 			r.resumable = true
+			if r.call.Sent != nil {
+				r.call.Sent.Add(uint64(n), ev.data)
+			}
 			return Event{Data: ev.data, Done: isDone(ev.data)}, nil
 		}
 	}
--- a/root/traffic/forward/idempotent.go
+++ b/root/traffic/forward/idempotent.go
@@ -52,6 +52,8 @@
 	headSent bool
 	// received counts the events that the sink has; the next attempt resumes after them.
 	received int
+	// sent holds these events, as far as they are numbered.
+	sent engine.SentEvents
 	// progressed is set if the last attempt wrote an event.
 	progressed bool
 	// unresumable is set if no other server can continue the response.
@@ -97,6 +99,7 @@
 func (run *idempotentRun) attempt(ctx context.Context, lease *dispatch.Lease, m *migration) error {
 	call := run.r.Call
 	call.ResumeAfter = run.received
+	call.Sent = &run.sent
 	run.progressed = false
 	resp, err := run.f.Client.Do(ctx, lease.Server(), call)
 	if err != nil {
--- a/root/traffic/frontdoor/join_test.go
+++ b/root/traffic/frontdoor/join_test.go
@@ -78,6 +78,7 @@
 	}{
 		"resumed":                      {head + numbered(3, "c", "[DONE]") + lastChunk, []string{"a", "b", "c", "[DONE]"}},
 		"restarted":                    {head + numbered(1, "a", "b", "c", "[DONE]") + lastChunk, []string{"a", "b", "c", "[DONE]"}},
+		"restarted with other events":  {head + numbered(1, "x", "y", "z", "[DONE]") + lastChunk, []string{"a", "b"}},
 		"restarted and ended too soon": {head + numbered(1, "a", "[DONE]") + lastChunk, []string{"a", "b"}},
 		"resumed after a gap":          {head + numbered(4, "d", "[DONE]") + lastChunk, []string{"a", "b"}},
 		"ended without its last event": {head + numbered(3, "c") + lastChunk, []string{"a", "b", "c"}},
--- a/root/traffic/relay/position.go
+++ b/root/traffic/relay/position.go
@@ -1,19 +1,10 @@
 package relay
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 )
 
-// maxSentEvents bounds the events of a stream that are kept for comparison. An event
-// beyond it can't be compared when a server repeats it, which then cuts the stream.
-const maxSentEvents = 64 << 10
-
 // streamPosition tracks which events of a stream the caller has, so that the stream of
 // another server continues it only if that is the same stream. Errors are of kind
 // fault.StreamCut.
@@ -22,8 +13,8 @@
 	lastID uint64
 	// before is the lastID with which the caller sent the request.
 	before uint64
-	// sent lists the numbered events that were sent to the caller, in ascending order.
-	sent []sentEvent
+	// sent holds the numbered events that were sent to the caller.
+	sent engine.SentEvents
 	// gaps is set once two events sent had numbers that are not consecutive. The numbers
 	// then don't show whether an event is missing.
 	gaps bool
@@ -33,8 +24,6 @@
 	previous uint64
 }
 
-type sentEvent struct{ id, digest uint64 }
-
 // begin starts an attempt.
 func (p *streamPosition) begin() { p.previous = 0 }
 
@@ -59,7 +48,7 @@
 	if ev.ID <= p.lastID {
 		return false, p.compare(ev)
 	}
-	resumed := previous == 0 && len(p.sent) > 0
+	resumed := previous == 0 && !p.sent.Empty()
 	if previous > 0 && previous != p.lastID || resumed && !p.gaps && ev.ID != p.lastID+1 {
 		return false, fault.New(fault.StreamCut, part, "event %d does not follow event %d", ev.ID, p.lastID)
 	}
@@ -73,8 +62,7 @@
 	if ev.ID <= p.before {
 		return nil
 	}
-	i, found := slices.BinarySearchFunc(p.sent, ev.ID, func(e sentEvent, id uint64) int { return cmp.Compare(e.id, id) })
-	if !found || p.sent[i].digest != xxhash.Sum64(ev.Bytes) {
+	if !p.sent.Contains(ev.ID, ev.Bytes) {
 		return fault.New(fault.StreamCut, part, "event %d differs from the one sent", ev.ID)
 	}
 	return nil
@@ -82,10 +70,8 @@
 
 // add records an event that is sent to the caller.
 func (p *streamPosition) add(ev engine.VerbatimEvent) {
-	p.gaps = p.gaps || len(p.sent) > 0 && ev.ID != p.lastID+1
-	if len(p.sent) < maxSentEvents {
-		p.sent = append(p.sent, sentEvent{ev.ID, xxhash.Sum64(ev.Bytes)})
-	}
+	p.gaps = p.gaps || !p.sent.Empty() && ev.ID != p.lastID+1
+	p.sent.Add(ev.ID, ev.Bytes)
 	p.lastID = ev.ID
 }
 
