--- a/root/traffic/frontdoor/trouble_test.go
+++ b/root/traffic/frontdoor/trouble_test.go
@@ -132,3 +132,33 @@
 	})
 	calls.Wait()
 }
+
+// TestAnswerCutWithinItsHeadIsNoSuccess cuts the heads of answers at each byte.
+func TestAnswerCutWithinItsHeadIsNoSuccess(t *testing.T) {
+	for name, fields := range map[string]string{
+		"plain":   "Content-Length: 12\r\n\r\n",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n",
+		"stream":  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"bare":    "Content-Type: application/json\r\n",
+	} {
+		for ending, linger := range map[string]int{"FIN": -1, "RST": 0} {
+			t.Run(name+" "+ending, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				head := "HTTP/1.1 200 OK\r\n" + engine.RequestIDHeader + ": 0123456789abcdef\r\n" + fields
+				for n := range len(head) + 1 {
+					server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+						conn, _ := hijack(w)
+						_, _ = io.WriteString(conn, head[:n])
+						_ = conn.(*net.TCPConn).SetLinger(linger)
+						conn.Close()
+					})
+					body := `{"model":"assistant","stream":true}`
+					resp, text := server.send(c, "POST", "/v1/completions", body)
+					c.Check(resp.StatusCode >= 500 || strings.Contains(text, "event: error\n"), qt.IsTrue, qt.Commentf("%q gave %d %s", head[:n], resp.StatusCode, text))
+					c.Check(strings.Contains(text, `"ran":"no"`), qt.IsFalse, qt.Commentf("%q gave %s", head[:n], text))
+				}
+			})
+		}
+	}
+}
