--- a/root/traffic/engine/verbatim.go
+++ b/root/traffic/engine/verbatim.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
@@ -21,17 +22,31 @@
 }
 
 // VerbatimReader splits a stream into events without changing their bytes.
-type VerbatimReader struct{ r *bufio.Reader }
+type VerbatimReader struct {
+	r *bufio.Reader
+	// needsEvent is set while the end of the stream can't be told from a connection that
+	// was closed after the head of the response.
+	needsEvent bool
+}
 
-// NewVerbatimReader returns a VerbatimReader for the body of a stream.
+// NewVerbatimReader returns a VerbatimReader for a stream whose end is certain.
 func NewVerbatimReader(r io.Reader) *VerbatimReader {
 	return &VerbatimReader{r: bufio.NewReaderSize(r, readBufferSize)}
 }
 
+// NewResponseReader returns a VerbatimReader for the body of a response. If the response
+// has neither a length nor chunks and ends with its connection, it is complete only with
+// an event.
+func NewResponseReader(resp *http.Response) *VerbatimReader {
+	v := NewVerbatimReader(resp.Body)
+	v.needsEvent = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return v
+}
+
 // Next returns the next complete event, and io.EOF when the stream ends between
-// two events. A stream that ends within an event or fails otherwise is an error of
-// kind fault.StreamCut, which does not wrap io.EOF. Lines may have any length, as long
-// as the event has at most maxEventBytes.
+// two events. A stream that ends within an event, or before one that it needs, or fails
+// otherwise is an error of kind fault.StreamCut, which does not wrap io.EOF. Lines may have
+// any length, as long as the event has at most maxEventBytes.
 func (v *VerbatimReader) Next() (VerbatimEvent, error) {
 	ev := VerbatimEvent{Comment: true}
 	lineStart := 0
@@ -43,7 +58,7 @@
 			return VerbatimEvent{}, fault.New(fault.StreamCut, part, "event exceeds %d bytes", maxEventBytes)
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(ev.Bytes) == 0:
+		case err == io.EOF && len(ev.Bytes) == 0 && !v.needsEvent:
 			return VerbatimEvent{}, io.EOF
 		case err == io.EOF:
 			return VerbatimEvent{}, fault.Wrap(io.ErrUnexpectedEOF, fault.StreamCut, part, "read event stream")
@@ -53,6 +68,7 @@
 		line := bytes.TrimRight(ev.Bytes[lineStart:], "\r\n")
 		lineStart = len(ev.Bytes)
 		if len(line) == 0 {
+			v.needsEvent = v.needsEvent && ev.Comment
 			return ev, nil
 		}
 		ev.Comment = ev.Comment && line[0] == ':'
