--- a/root/traffic/frontdoor/server.go
+++ b/root/traffic/frontdoor/server.go
@@ -39,7 +39,7 @@
 func NewServer(listener net.Listener, h http.Handler, o ServerOptions) *Server {
 	s := &Server{listener: &drainingListener{Listener: listener}, connections: newConnections()}
 	s.server = &http.Server{
-		Handler:           s.announceClose(h),
+		Handler:           s.announceClose(resetAborted(h)),
 		MaxHeaderBytes:    o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
@@ -59,6 +59,31 @@
 	})
 }
 
+// resetAborted resets the connection of a response that the handler aborts, if it may be
+// one that ends with its connection: a connection that is closed in order would complete it.
+func resetAborted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			reason := recover()
+			if reason == nil {
+				return
+			}
+			if reason != http.ErrAbortHandler || r.ProtoAtLeast(1, 1) {
+				panic(reason)
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(reason)
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			conn.Close()
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve accepts connections until ctx ends or the listener fails. After Drain it
 // waits for ctx.
 func (s *Server) Serve(ctx context.Context) error {
