--- a/root/traffic/frontdoor/trouble_test.go
+++ b/root/traffic/frontdoor/trouble_test.go
@@ -164,3 +164,34 @@
 		}
 	}
 }
+
+func TestUnframedAnswerIsWholeOnlyIfItsConnectionEndsInOrder(t *testing.T) {
+	plain, stream := "HTTP/1.1 200 OK\r\n\r\nanswer", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n"
+	for name, tc := range map[string]struct {
+		answer string
+		linger int
+		whole  bool
+	}{
+		"plain":                 {plain, -1, true},
+		"plain over HTTP/1.0":   {strings.Replace(plain, "1.1", "1.0", 1), -1, true},
+		"plain, reset":          {plain, 0, false},
+		"stream":                {stream + "data: [DONE]\n\n", -1, true},
+		"stream without an end": {stream, -1, false},
+		"stream, cut":           {stream + "data: b\n", -1, false},
+		"stream, reset":         {stream, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _ := hijack(w)
+				_, _ = io.WriteString(conn, tc.answer)
+				_ = conn.(*net.TCPConn).SetLinger(tc.linger)
+				conn.Close()
+			})
+			resp, text := server.send(c, "POST", "/v1/completions", `{"model":"assistant","stream":true}`)
+			failed := resp.StatusCode >= 500 || strings.Contains(text, "event: error\n")
+			c.Check(failed, qt.Equals, !tc.whole, qt.Commentf("%d %s", resp.StatusCode, text))
+			c.Check(strings.Contains(text, `"ran":"no"`), qt.IsFalse, qt.Commentf("%s", text))
+		})
+	}
+}
