--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -5,7 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -69,21 +69,35 @@
 	maxInterimResponses = 16
 	// maxLateResponses bounds the late responses to earlier requests.
 	maxLateResponses = 8
-	// maxAnsweredIDs bounds the ids by which late responses are recognized.
-	maxAnsweredIDs = 16
 )
 
-var errHeadTooLarge = errors.New("response head is too large")
+// Errors of responses that can't be read. Unlike those of net/http, they don't quote the
+// server's bytes, which belong to no caller.
+var (
+	errHeadTooLarge     = errors.New("response head is too large")
+	errHeadMalformed    = errors.New("response head is malformed")
+	errTrailerMalformed = errors.New("trailer of the response is malformed")
+)
 
 // limitedReader reads from r. While bounded is set, it reads at most left more bytes.
 type limitedReader struct {
 	r       io.Reader
 	bounded bool
 	left    int
+	// err is the first error of Read.
+	err error
 }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.read(p)
+	if l.err == nil {
+		l.err = err
+	}
+	return n, err
+}
+
+func (l *limitedReader) read(p []byte) (int, error) {
 	if !l.bounded {
 		return l.r.Read(p)
 	}
@@ -95,12 +109,26 @@
 	return n, err
 }
 
+// headError returns the error for a head that can't be read: what ended it, or else that
+// it is malformed.
+func (l *limitedReader) headError() error {
+	switch l.err {
+	case nil:
+		return errHeadMalformed
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return l.err
+	}
+}
+
 // readHead reads the head of the response to the request. It skips interim (1xx)
 // responses, and late copies of earlier responses on the connection with their bodies.
 //
-// A response without an id is accepted on a new connection only, which then isn't
-// reused: on a reused one it may be a late copy of an earlier response. A response to a
-// request that was never sent on the connection means that the server mixes up its
+// A response with the id of the request is accepted: a connection carries each id once,
+// see mayCarry. A response without an id is accepted on a new connection only, which then
+// isn't reused: on a reused one it may be a late copy of an earlier response. A response
+// to a request that was never sent on the connection means that the server mixes up its
 // responses, and that the right one need not follow.
 func (c *conn) readHead(req RawRequest) (*http.Response, error) {
 	late := 0
@@ -115,10 +143,10 @@
 		switch id := req.ResponseID(resp.Header); {
 		case id == req.ID:
 			return resp, nil
-		case id == "" && len(c.answered) == 0:
+		case id == "" && len(c.sent) == 1:
 			c.unidentified = true
 			return resp, nil
-		case !slices.Contains(c.answered, id) || late == maxLateResponses:
+		case id == "" || !c.carried(id) || late == maxLateResponses:
 			c.transport.stats.unsolicited.Add(1)
 			return nil, fault.New(fault.OutcomeUnknown, part, "the server responded to another request")
 		}
@@ -136,21 +164,16 @@
 	for range maxInterimResponses {
 		c.limit.bounded, c.limit.left = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, c.limit.headError()
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 	}
 	return nil, fault.New(fault.OutcomeUnknown, part, "more than %d interim responses", maxInterimResponses)
 }
 
-// addAnswered records that the current request was answered.
-func (c *conn) addAnswered() {
-	c.answered = append(c.answered, c.requestID)
-	if len(c.answered) > maxAnsweredIDs {
-		c.answered = slices.Delete(c.answered, 0, 1)
-	}
-}
-
 // responseBody returns its connection to the pool when the exchange is complete.
 type responseBody struct {
 	io.ReadCloser
@@ -171,17 +194,22 @@
 	if err == io.EOF {
 		b.complete = true
 	}
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		err = errTrailerMalformed
+	}
 	return n, err
 }
 
 // Close ends the exchange. The connection is reused only if the response was read
 // completely and had an id, requestWritten reports true, the server keeps the connection
-// open, and no further bytes have arrived on it; otherwise it is closed. Close must be called
-// only once: a second call closes the connection, which may carry another request by
-// then.
+// open, no further bytes have arrived on it, and it has carried fewer than
+// maxRequestsPerConn requests; otherwise it is closed. Close must be called only once: a
+// second call closes the connection, which may carry another request by then.
 func (b *responseBody) Close() error {
 	active := b.stop()
-	if !active || !b.complete || b.resp.Close || b.conn.unidentified || !b.requestWritten() {
+	reusable := !b.conn.unidentified && len(b.conn.sent) < maxRequestsPerConn
+	if !active || !b.complete || b.resp.Close || !reusable || !b.requestWritten() {
 		return b.conn.Close()
 	}
 	timeout := idleTimeout(b.resp.Header)
@@ -192,7 +220,6 @@
 	if timeout <= 0 {
 		return b.conn.Close()
 	}
-	b.conn.addAnswered()
 	b.conn.transport.putIdle(b.conn, timeout)
 	return nil
 }
--- a/root/traffic/frontdoor/trouble_test.go
+++ b/root/traffic/frontdoor/trouble_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +133,65 @@
 	})
 	calls.Wait()
 }
+
+// TestAnswerCutWithinItsHeadIsNoSuccess cuts the heads of answers at each byte.
+func TestAnswerCutWithinItsHeadIsNoSuccess(t *testing.T) {
+	for name, fields := range map[string]string{
+		"plain":   "Content-Length: 12\r\n\r\n",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n",
+		"stream":  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"bare":    "Content-Type: application/json\r\n",
+	} {
+		for ending, linger := range map[string]int{"FIN": -1, "RST": 0} {
+			t.Run(name+" "+ending, func(t *testing.T) {
+				c := qt.New(t)
+				head := "HTTP/1.1 200 OK\r\n" + engine.RequestIDHeader + ": 0123456789abcdef\r\n" + fields
+				for n := range len(head) + 1 {
+					var reached atomic.Bool
+					server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+						reached.Store(true)
+						conn, _ := hijack(w)
+						_, _ = io.WriteString(conn, head[:n])
+						_ = conn.(*net.TCPConn).SetLinger(linger)
+						conn.Close()
+					})
+					body := `{"model":"assistant","stream":true}`
+					resp, text := server.send(c, "POST", "/v1/completions", body)
+					c.Check(resp.StatusCode >= 500 || strings.Contains(text, "event: error\n"), qt.IsTrue, qt.Commentf("%q gave %d %s", head[:n], resp.StatusCode, text))
+					c.Check(strings.Contains(text, `"ran":"no"`), qt.Equals, !reached.Load(), qt.Commentf("%q gave %s", head[:n], text))
+				}
+			})
+		}
+	}
+}
+
+func TestUnframedAnswerIsWholeOnlyIfItsConnectionEndsInOrder(t *testing.T) {
+	plain, stream := "HTTP/1.1 200 OK\r\n\r\nanswer", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n"
+	for name, tc := range map[string]struct {
+		answer string
+		linger int
+		whole  bool
+	}{
+		"plain":                 {plain, -1, true},
+		"plain over HTTP/1.0":   {strings.Replace(plain, "1.1", "1.0", 1), -1, true},
+		"plain, reset":          {plain, 0, false},
+		"stream":                {stream + "data: [DONE]\n\n", -1, true},
+		"stream without an end": {stream, -1, false},
+		"stream, cut":           {stream + "data: b\n", -1, false},
+		"stream, reset":         {stream, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _ := hijack(w)
+				_, _ = io.WriteString(conn, tc.answer)
+				_ = conn.(*net.TCPConn).SetLinger(tc.linger)
+				conn.Close()
+			})
+			resp, text := server.send(c, "POST", "/v1/completions", `{"model":"assistant","stream":true}`)
+			failed := resp.StatusCode >= 500 || strings.Contains(text, "event: error\n")
+			c.Check(failed, qt.Equals, !tc.whole, qt.Commentf("%d %s", resp.StatusCode, text))
+			c.Check(strings.Contains(text, `"ran":"no"`), qt.IsFalse, qt.Commentf("%s", text))
+		})
+	}
+}
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -34,8 +34,8 @@
 	// transmissions counts the transmissions of which a server may have received a
 	// part, including failed prefill calls but not successful ones.
 	transmissions int
-	// lastEventID is the number of the last event that the caller has.
-	lastEventID uint64
+	// position is the position of the caller in a stream.
+	position streamPosition
 	// headSent is set once the head of a stream is written to the caller.
 	headSent bool
 	// exclude lists the servers that failed this request.
@@ -220,7 +220,7 @@
 	return Transmission{
 		Request:        r.req,
 		Deadline:       r.deadline,
-		LastEventID:    r.lastEventID,
+		LastEventID:    r.position.lastID,
 		Priority:       r.route.Priority,
 		Cache:          r.cache,
 		CopyFrom:       copyFrom,
@@ -260,7 +260,8 @@
 
 // mayRetry reports whether the request may be sent to another server after a failure.
 func (r *requestRun) mayRetry(ctx context.Context, failed *fault.Error) bool {
-	if ctx.Err() != nil || fault.Is(failed, fault.Overloaded) || fault.Is(failed, fault.Quarantined) || !r.attemptsLeft() || r.mayCrashAnother() {
+	refused := fault.Is(failed, fault.Overloaded) || fault.Is(failed, fault.Quarantined)
+	if refused || ctx.Err() != nil || !r.attemptsLeft() || !r.position.resumable() || r.mayCrashAnother() {
 		return false
 	}
 	return r.route.Idempotent() || (failed.Ran == fault.RanNo && r.ran == fault.RanNo)
