--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -39,28 +39,35 @@
 
 // Announce handles the announcement of a backend server. The error is of kind
 // fault.Invalid for an invalid id or a service that the routing document does not
-// define, and fault.Unavailable if the control thread did not accept the announcement.
+// define, fault.NotReady if a newer document may define it, and fault.Unavailable if the
+// control thread did not accept the announcement.
 func (r *Registrar) Announce(ctx context.Context, s fleet.Server) error {
 	if !replicated.HasValidID(s) {
 		return fault.New(fault.Invalid, part, "backend server id must have 1 to %d bytes", authority.MaxIDBytes)
 	}
 	for _, service := range s.Targets {
-		if !r.knowsService(service) {
-			return fault.New(fault.Invalid, part, "unknown service %q", service)
+		if err := r.checkService(service); err != nil {
+			return err
 		}
 	}
 	return r.post(ctx, machine.Announced{Server: s})
 }
 
-// knowsService reports whether the routing document defines a service. Before the
-// first document every service counts as known.
-func (r *Registrar) knowsService(service string) bool {
+// checkService returns an error if the routing document does not define a service. Before
+// the first document every service counts as defined.
+func (r *Registrar) checkService(service string) error {
 	v := r.views.Load()
 	if v == nil || v.Routes == nil {
-		return true
+		return nil
 	}
-	_, known := v.Routes.Service(service)
-	return known
+	if _, known := v.Routes.Service(service); known {
+		return nil
+	}
+	kind := fault.Invalid
+	if !v.Leased(time.Now()) {
+		kind = fault.NotReady
+	}
+	return fault.New(kind, part, "routes of version %d define no service %q", v.Routes.Version, service)
 }
 
 // Deregister handles the deregistration of a stopping backend server. Incarnation 0
