--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -1,9 +1,12 @@
 package machine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -217,8 +220,9 @@
 	c.leader = replicas[(i+1)%len(replicas)]
 }
 
-// replicas returns the VMs that may lead: the configured ones first, then those
-// found in the view.
+// replicas returns the VMs that may lead, those in the settings and those in the view, in
+// an order of this VM's own: VMs that lose a leader together ask different replicas for
+// the next one.
 func (c *leaseClient) replicas() []string {
 	out := slices.Clone(c.m.cfg.Replicas)
 	for _, vm := range c.current.VMs {
@@ -226,9 +230,15 @@
 			out = append(out, vm.ID)
 		}
 	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(c.preference(a), c.preference(b)) })
 	return out
 }
 
+// preference returns the position of a replica in the order of this VM.
+func (c *leaseClient) preference(replica string) uint64 {
+	return xxhash.Sum64String(c.m.cfg.Self.ID + "\x00" + replica)
+}
+
 func (c *leaseClient) onNotLeader(from string, msg NotLeader) {
 	if from != c.leader {
 		return
--- a/root/control/machine/pushes_test.go
+++ b/root/control/machine/pushes_test.go
@@ -82,3 +82,33 @@
 	}
 	c.Assert(last.view.Seq >= before+2, qt.IsTrue, qt.Commentf("view %d after %d", last.view.Seq, before))
 }
+
+// TestVMsLookForALeaderAtDifferentReplicas loses all replicas. VMs that walk them in the
+// same order, each for as long, arrive together at one after the other, and their sessions
+// keep each next leader from its heartbeats.
+func TestVMsLookForALeaderAtDifferentReplicas(t *testing.T) {
+	c := qt.New(t)
+	const vms = 120
+	sim := newSimulation(3, machine.RuleNone)
+	for range vms {
+		sim.addNode(false).start()
+	}
+	old := sim.waitForLeader()
+	sim.runFor(3 * time.Second)
+	for _, n := range sim.nodes[:replicas] {
+		n.crash()
+	}
+	asked := map[string]int{}
+	found := map[string]bool{old.id: true}
+	sim.onSend = func(from, to string, msg machine.Message) {
+		if _, ok := msg.(machine.Renew); ok && to != old.id && !found[from] {
+			found[from] = true
+			asked[to]++
+		}
+	}
+	sim.runFor(2 * old.m.Timing().RenewTimeout)
+	c.Assert(len(found) > vms, qt.IsTrue)
+	for id, count := range asked {
+		c.Check(count < vms*3/4, qt.IsTrue, qt.Commentf("%d of %d VMs asked %s first", count, vms, id))
+	}
+}
