--- a/root/control/machine/pushes.go
+++ b/root/control/machine/pushes.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// sendBatch sends to the next VMs. Those that have renewed meanwhile have the view.
+// sendBatch sends to the next VMs, without those that have renewed meanwhile.
 func (p *pushes) sendBatch() {
 	sent := 0
 	for len(p.waiting) > 0 && sent < pushBatch {
@@ -118,8 +118,9 @@
 	p.nextBatch = p.l.m.now.Add(time.Duration(sent) * p.l.m.cfg.Timing.PushIntervalPerHolder)
 }
 
-// send sends the current view to a lease holder that lacks it, and the name of the leader
-// to a VM that is unaware of it. It reports whether it sent anything.
+// send sends the current view to a lease holder that lacks it, asks one that has it for a
+// confirmation that others wait for, and sends the name of the leader to a VM that is
+// unaware of it. It reports whether it sent anything.
 func (p *pushes) send(id string) bool {
 	l := p.l
 	h := l.holders[id]
@@ -128,8 +129,15 @@
 		delete(p.unaware, id)
 		l.m.send(id, p.announcement())
 		return true
-	case h == nil || h.pushed == l.views.Versions():
+	case h == nil:
 		return false
+	case h.pushed == l.views.Versions():
+		if h.confirmed.Seq == l.seq() || !l.needsConfirmation(h) {
+			return false
+		}
+		// The answer to a Renew asks for no confirmation.
+		l.m.send(id, p.announcement())
+		return true
 	}
 	u := l.views.Since(h.pushed)
 	h.pushed = l.views.Versions()
