--- a/root/control/quarantine/tracker.go
+++ b/root/control/quarantine/tracker.go
@@ -37,9 +37,10 @@
 	// engines are those that have been counted, also before the last complete response:
 	// VMs may report a loss again.
 	engines map[engine]bool
-	// incidents counts the incidents since the last complete response; first and last
-	// are the times of the first and the last one.
-	incidents   int
+	// incidents are the times of the incidents since the last complete response, as many
+	// as a quarantine takes.
+	incidents []time.Time
+	// first is the time of the first loss since then, and last that of the last loss.
 	first, last time.Time
 	// suspectedAt is when the segment became a suspect; zero if it is none.
 	suspectedAt time.Time
@@ -67,26 +68,29 @@
 		return false
 	}
 	e.engines[lost] = true
-	if e.incidents > 0 && l.At.Sub(e.last).Abs() < incidentWindow {
-		return false
-	}
-	e.incidents++
-	if e.incidents == 1 {
-		e.first, e.last = l.At, l.At
-	}
-	if l.At.Before(e.first) {
+	if len(e.incidents) == 0 || l.At.Before(e.first) {
 		e.first = l.At
 	}
 	if l.At.After(e.last) {
 		e.last = l.At
 	}
-	if e.incidents != suspectIncidents {
+	if len(e.incidents) == quarantineIncidents || e.isCounted(l.At) {
+		return false
+	}
+	e.incidents = append(e.incidents, l.At)
+	if len(e.incidents) != suspectIncidents {
 		return false
 	}
 	e.suspectedAt = now
 	return true
 }
 
+// isCounted reports whether a loss at the given time belongs to an incident that is
+// counted. Reports of several VMs arrive in any order.
+func (e *evidence) isCounted(at time.Time) bool {
+	return slices.ContainsFunc(e.incidents, func(t time.Time) bool { return at.Sub(t).Abs() < incidentWindow })
+}
+
 // Clear records that a response with the segment has completed after it became a
 // suspect, and reports whether it was one.
 func (t *Tracker) Clear(s Segment) bool {
@@ -95,7 +99,7 @@
 		return false
 	}
 	wasSuspect := !e.suspectedAt.IsZero()
-	e.incidents, e.suspectedAt = 0, time.Time{}
+	e.incidents, e.suspectedAt = nil, time.Time{}
 	return wasSuspect
 }
 
@@ -120,7 +124,7 @@
 	var out []Segment
 	for _, s := range slices.Sorted(maps.Keys(t.segments)) {
 		e := t.segments[s]
-		if e.incidents >= quarantineIncidents && now.Sub(e.suspectedAt) >= observationTime {
+		if len(e.incidents) >= quarantineIncidents && now.Sub(e.suspectedAt) >= observationTime {
 			out = append(out, s)
 		}
 	}
--- a/root/control/quarantine/tracker_test.go
+++ b/root/control/quarantine/tracker_test.go
@@ -52,6 +52,20 @@
 	c.Assert(tracker.Convicted(at(60)), qt.HasLen, 0)
 }
 
+// TestLateReportsOfAnIncidentAddNone reports the losses of one incident before and after a
+// later one, as several VMs do to a new leader.
+func TestLateReportsOfAnIncidentAddNone(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	lose(tracker, 1, 0, shared)
+	lose(tracker, 2, 2, shared)
+	lose(tracker, 3, 0.01, shared)
+	lose(tracker, 4, 2.01, shared)
+	lose(tracker, 5, 0.02, shared)
+	c.Assert(tracker.Suspects(), qt.DeepEquals, []quarantine.Suspect{{Segment: shared, Since: at(0)}})
+	c.Assert(tracker.Convicted(at(60)), qt.HasLen, 0)
+}
+
 // TestFastCrashesAreObservedFirst leaves VMs the time to report complete responses.
 func TestFastCrashesAreObservedFirst(t *testing.T) {
 	c := qt.New(t)
