--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
@@ -46,10 +47,20 @@
 		if len(s.losses) == maxLosses {
 			return
 		}
-		s.losses = append(s.losses, quarantine.Loss{Segment: segment, Server: server, Incarnation: incarnation, At: at})
+		if !s.hasLoss(segment, server, incarnation) {
+			s.losses = append(s.losses, quarantine.Loss{Segment: segment, Server: server, Incarnation: incarnation, At: at})
+		}
 	}
 }
 
+// hasLoss reports whether the next report has the loss. Most requests at an engine share
+// their leading segments.
+func (s *State) hasLoss(segment quarantine.Segment, server string, incarnation uint64) bool {
+	return slices.ContainsFunc(s.losses, func(l quarantine.Loss) bool {
+		return l.Segment == segment && l.Incarnation == incarnation && l.Server == server
+	})
+}
+
 // Completed records that a response to a request with these segments has completed.
 func (s *State) Completed(held []quarantine.Segment, at time.Time) {
 	for _, segment := range held {
