--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -28,6 +28,9 @@
 	completions map[quarantine.Segment]*list.Element
 	recent      *list.List
 	losses      []quarantine.Loss
+	// cleared holds the suspects that were reported as completed, with their Since. The
+	// control thread repeats a report until the leader has it.
+	cleared map[quarantine.Segment]time.Time
 }
 
 // completion is the time of the last complete response with a segment.
@@ -78,16 +81,22 @@
 }
 
 // Report returns the losses since the last report, and the suspects with which a
-// response has completed since they were first lost. It reports false if there are
-// neither.
+// response has completed since they were first lost, each once while it is a suspect. It
+// reports false if there are neither.
 func (s *State) Report(suspects []quarantine.Suspect) (machine.SegmentReport, bool) {
 	report := machine.SegmentReport{Losses: s.losses}
 	s.losses = nil
+	cleared := make(map[quarantine.Segment]time.Time, len(s.cleared))
 	for _, suspect := range suspects {
 		e := s.completions[suspect.Segment]
-		if e != nil && e.Value.(completion).at.After(suspect.Since) {
+		if e == nil || !e.Value.(completion).at.After(suspect.Since) {
+			continue
+		}
+		if since, reported := s.cleared[suspect.Segment]; !reported || !since.Equal(suspect.Since) {
 			report.Completed = append(report.Completed, suspect.Segment)
 		}
+		cleared[suspect.Segment] = suspect.Since
 	}
+	s.cleared = cleared
 	return report, len(report.Losses) > 0 || len(report.Completed) > 0
 }
--- a/root/traffic/segments/state_test.go
+++ b/root/traffic/segments/state_test.go
@@ -57,6 +57,28 @@
 	c.Assert(report.Losses[len(common)].Segment, qt.Equals, quarantine.Segment(99))
 }
 
+// TestCompletionIsReportedOncePerSuspicion guards against entries that renew with each
+// response while a common segment is a suspect.
+func TestCompletionIsReportedOncePerSuspicion(t *testing.T) {
+	c := qt.New(t)
+	s := segments.NewState()
+	suspects := []quarantine.Suspect{{Segment: 1, Since: start}}
+	s.Completed([]quarantine.Segment{1}, start.Add(time.Second))
+	report, ok := s.Report(suspects)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(report.Completed, qt.DeepEquals, []quarantine.Segment{1})
+	s.Completed([]quarantine.Segment{1}, start.Add(2*time.Second))
+	_, ok = s.Report(suspects)
+	c.Assert(ok, qt.IsFalse)
+
+	// The segment is suspected again, as by a new leader.
+	_, ok = s.Report([]quarantine.Suspect{{Segment: 1, Since: start.Add(time.Millisecond)}})
+	c.Assert(ok, qt.IsTrue)
+	s.Report(nil)
+	_, ok = s.Report(suspects)
+	c.Assert(ok, qt.IsTrue)
+}
+
 func TestOldestCompletionsAreForgotten(t *testing.T) {
 	c := qt.New(t)
 	s := segments.NewState()
