--- a/root/control/quarantine/tracker.go
+++ b/root/control/quarantine/tracker.go
@@ -20,8 +20,10 @@
 	observationTime = time.Second
 	// evidenceLifetime is how long losses count after the last one.
 	evidenceLifetime = 2 * time.Minute
-	// maxTracked bounds the segments with losses.
-	maxTracked = 4096
+	// maxTracked bounds the segments with losses. At the bound, those with one incident
+	// are forgotten once it is singleIncidentLifetime ago.
+	maxTracked             = 4096
+	singleIncidentLifetime = 5 * time.Second
 	// maxEngines bounds the engines that are remembered for one segment.
 	maxEngines = 64
 )
@@ -57,6 +59,9 @@
 func (t *Tracker) ObserveLoss(l Loss, now time.Time) bool {
 	e := t.segments[l.Segment]
 	if e == nil {
+		if len(t.segments) >= maxTracked {
+			t.forgetSingleIncidents(l.At)
+		}
 		if len(t.segments) >= maxTracked {
 			return false
 		}
@@ -103,6 +108,14 @@
 	return wasSuspect
 }
 
+// forgetSingleIncidents makes room for segments that were lost at the given time. One
+// crash of many engines may fill the tracker.
+func (t *Tracker) forgetSingleIncidents(at time.Time) {
+	maps.DeleteFunc(t.segments, func(_ Segment, e *evidence) bool {
+		return len(e.incidents) < suspectIncidents && at.Sub(e.last) > singleIncidentLifetime
+	})
+}
+
 // Expire forgets the segments without a loss for evidenceLifetime.
 func (t *Tracker) Expire(now time.Time) {
 	maps.DeleteFunc(t.segments, func(_ Segment, e *evidence) bool { return now.Sub(e.last) > evidenceLifetime })
--- a/root/control/quarantine/tracker_test.go
+++ b/root/control/quarantine/tracker_test.go
@@ -66,6 +66,21 @@
 	c.Assert(tracker.Convicted(at(60)), qt.HasLen, 0)
 }
 
+// TestMassCrashLeavesRoomForADeadlySegment crashes many engines under many rare segments,
+// and then engine after engine under a new one.
+func TestMassCrashLeavesRoomForADeadlySegment(t *testing.T) {
+	c := qt.New(t)
+	tracker := quarantine.NewTracker()
+	for n := range 1500 {
+		first := quarantine.Segment(100 + 3*n)
+		lose(tracker, n, 0, first, first+1, first+2)
+	}
+	for n := range 10 {
+		lose(tracker, 5000+n, 10+float64(n), deadly)
+	}
+	c.Assert(tracker.Convicted(at(30)), qt.DeepEquals, []quarantine.Segment{deadly})
+}
+
 // TestFastCrashesAreObservedFirst leaves VMs the time to report complete responses.
 func TestFastCrashesAreObservedFirst(t *testing.T) {
 	c := qt.New(t)
