--- a/root/traffic/relay/deliver.go
+++ b/root/traffic/relay/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
@@ -49,6 +50,7 @@
 // what the caller has.
 func (r *requestRun) streamEvents(lease *placement.Lease, resp Response, watch *watchdog) (placement.Outcome, error) {
 	r.position.begin()
+	var survival survivalClock
 	for {
 		ev, err := resp.Next()
 		// An error that wraps io.EOF is a stream that was cut.
@@ -63,6 +65,9 @@
 		}
 		lease.MarkFirstOutput()
 		watch.disarm()
+		if survival.due(time.Now()) {
+			r.Segments.Completed(r.heldSegments())
+		}
 		send, err := r.position.accept(ev)
 		if err != nil {
 			return r.streamFailed(lease, err)
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -14,7 +14,8 @@
 type SegmentObserver interface {
 	// Lost records that an engine ended under a request with these segments.
 	Lost(held []quarantine.Segment, s fleet.Server)
-	// Completed records that a response to a request with these segments has completed.
+	// Completed records that a response to a request with these segments has completed, or
+	// that it goes on long after its engine began with it.
 	Completed(held []quarantine.Segment)
 }
 
@@ -22,6 +23,24 @@
 // are shared most.
 const maxHeldSegments = 64
 
+// survivalTime is how long an engine must go on with its output to show that it survives
+// the segments of a prompt. One that does not crashes when it begins to answer.
+const survivalTime = time.Second
+
+// survivalClock tells when a stream shows that its engine survives: for each survivalTime
+// after the first event.
+type survivalClock struct{ next time.Time }
+
+// due is called for each event.
+func (s *survivalClock) due(now time.Time) bool {
+	if !s.next.IsZero() && now.Before(s.next) {
+		return false
+	}
+	first := s.next.IsZero()
+	s.next = now.Add(survivalTime)
+	return !first
+}
+
 // heldSegments returns the shared segments of the prompt, each once. The last segment
 // belongs to the request alone.
 func (r *requestRun) heldSegments() []quarantine.Segment {
--- a/root/traffic/relay/segments_test.go
+++ b/root/traffic/relay/segments_test.go
@@ -70,6 +70,22 @@
 	})
 }
 
+// TestLongOutputClearsSegmentsBeforeItEnds guards against sound segments that are held to
+// crash engines because no answer is short enough to complete between two crashes.
+func TestLongOutputClearsSegmentsBeforeItEnds(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.script = []scriptedResponse{{status: 200, events: 2, cut: true}}
+		_, err := h.serve(promptRequest("/stream/"))
+		c.Assert(err != nil, qt.IsTrue)
+		c.Assert(h.completed, qt.HasLen, 0)
+
+		h.script = []scriptedResponse{{status: 200, events: 2, pause: 1500 * time.Millisecond, cut: true}}
+		_, err = h.serve(promptRequest("/stream/"))
+		c.Assert(err != nil, qt.IsTrue)
+		c.Assert(h.completed, qt.DeepEquals, []quarantine.Segment{key("a"), key("b")})
+	})
+}
+
 // TestRequestWithASuspectCrashesOneEngineOnly guards against a deadly request that is
 // sent from engine to engine.
 func TestRequestWithASuspectCrashesOneEngineOnly(t *testing.T) {
