--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -107,7 +107,10 @@
 	case replicated.ChangeTable:
 		l.onTableChange(p, ours, result)
 		return
-	case replicated.SetDrain, replicated.SetFencing, replicated.ReplaceRoutes, replicated.QuarantineSegments:
+	case replicated.ReplaceRoutes:
+		// Before the answer: a lease that is granted later must not vouch for older routes.
+		l.pushView()
+	case replicated.SetDrain, replicated.SetFencing, replicated.QuarantineSegments:
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
