--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -170,7 +170,12 @@
 	if v == nil || v.Routes == nil || v.Routes.Limits.MaxBodyBytes <= 0 {
 		return r.MaxBodyBytes
 	}
-	return int64(v.Routes.Limits.MaxBodyBytes)
+	limit := int64(v.Routes.Limits.MaxBodyBytes)
+	if !v.Leased(time.Now()) {
+		// A newer limit may be higher.
+		return max(limit, r.MaxBodyBytes)
+	}
+	return limit
 }
 
 // Serve handles one request. A nil error means that the sink has the complete
--- a/root/traffic/relay/relay_test.go
+++ b/root/traffic/relay/relay_test.go
@@ -269,6 +269,22 @@
 	})
 }
 
+// TestBodyLimitOfOldRoutesIsNotFinal guards against a 413 by a limit that may have been
+// raised.
+func TestBodyLimitOfOldRoutesIsNotFinal(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		v := *h.views.Load()
+		document := *v.Routes
+		document.Limits.MaxBodyBytes = 1000
+		v.Routes, v.LeaseUntil = &document, time.Now().Add(time.Second)
+		h.views.Publish(&v)
+		h.relay.MaxBodyBytes = 4000
+		c.Assert(h.relay.BodyLimit(), qt.Equals, int64(1000))
+		time.Sleep(time.Second)
+		c.Assert(h.relay.BodyLimit(), qt.Equals, int64(4000))
+	})
+}
+
 // TestUnmatchedRequestIsNotFoundOnlyWithALease guards against a 404 by routes that may
 // have been replaced. Requests that the last routes allow are served all the same.
 func TestUnmatchedRequestIsNotFoundOnlyWithALease(t *testing.T) {
