--- a/root/control/machine/pushes_test.go
+++ b/root/control/machine/pushes_test.go
@@ -60,7 +60,8 @@
 }
 
 // TestFrequentChangesReachTheLastVM changes the view more often than a push takes. The VMs
-// at the end of the order must not wait for the changes to stop.
+// at the end of the order must not wait for the changes to stop, or for the answer to
+// their next Renew.
 func TestFrequentChangesReachTheLastVM(t *testing.T) {
 	c := qt.New(t)
 	const vms = 120
@@ -71,6 +72,12 @@
 	sim.waitForLeader()
 	sim.runFor(3 * time.Second)
 	last := sim.nodes[len(sim.nodes)-1]
+	pushed := 0
+	sim.onSend = func(_, to string, msg machine.Message) {
+		if g, ok := msg.(machine.Grant); ok && to == last.id && g.Lease == 0 && g.Update != nil {
+			pushed++
+		}
+	}
 	before := last.view.Seq
 	for i := range 40 {
 		state := fleet.Active
@@ -81,4 +88,5 @@
 		sim.runFor(25 * time.Millisecond)
 	}
 	c.Assert(last.view.Seq >= before+2, qt.IsTrue, qt.Commentf("view %d after %d", last.view.Seq, before))
+	c.Assert(pushed >= 2, qt.IsTrue, qt.Commentf("%d views were pushed to the last VM", pushed))
 }
