--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
@@ -27,6 +28,9 @@
 	completions map[quarantine.Segment]*list.Element
 	recent      *list.List
 	losses      []quarantine.Loss
+	// cleared holds the suspects that were reported as completed, with their Since. The
+	// control thread repeats a report until the leader has it.
+	cleared map[quarantine.Segment]time.Time
 }
 
 // completion is the time of the last complete response with a segment.
@@ -46,10 +50,20 @@
 		if len(s.losses) == maxLosses {
 			return
 		}
-		s.losses = append(s.losses, quarantine.Loss{Segment: segment, Server: server, Incarnation: incarnation, At: at})
+		if !s.hasLoss(segment, server, incarnation) {
+			s.losses = append(s.losses, quarantine.Loss{Segment: segment, Server: server, Incarnation: incarnation, At: at})
+		}
 	}
 }
 
+// hasLoss reports whether the next report has the loss. Most requests at an engine share
+// their leading segments.
+func (s *State) hasLoss(segment quarantine.Segment, server string, incarnation uint64) bool {
+	return slices.ContainsFunc(s.losses, func(l quarantine.Loss) bool {
+		return l.Segment == segment && l.Incarnation == incarnation && l.Server == server
+	})
+}
+
 // Completed records that a response to a request with these segments has completed.
 func (s *State) Completed(held []quarantine.Segment, at time.Time) {
 	for _, segment := range held {
@@ -67,16 +81,22 @@
 }
 
 // Report returns the losses since the last report, and the suspects with which a
-// response has completed since they were first lost. It reports false if there are
-// neither.
+// response has completed since they were first lost, each once while it is a suspect. It
+// reports false if there are neither.
 func (s *State) Report(suspects []quarantine.Suspect) (machine.SegmentReport, bool) {
 	report := machine.SegmentReport{Losses: s.losses}
 	s.losses = nil
+	cleared := make(map[quarantine.Segment]time.Time, len(s.cleared))
 	for _, suspect := range suspects {
 		e := s.completions[suspect.Segment]
-		if e != nil && e.Value.(completion).at.After(suspect.Since) {
+		if e == nil || !e.Value.(completion).at.After(suspect.Since) {
+			continue
+		}
+		if since, reported := s.cleared[suspect.Segment]; !reported || !since.Equal(suspect.Since) {
 			report.Completed = append(report.Completed, suspect.Segment)
 		}
+		cleared[suspect.Segment] = suspect.Since
 	}
+	s.cleared = cleared
 	return report, len(report.Losses) > 0 || len(report.Completed) > 0
 }
