--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -77,7 +77,6 @@
 		outcome = placement.Abandoned
 		return fault.From(err)
 	}
-	r.observeLoss(lease.Server(), err)
 	r.prefillFailed(lease.Server().ID, err)
 	return nil
 }
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -81,7 +81,8 @@
 }
 
 // observeLoss reports an engine that ended under the request: it closed the connection
-// before its response was complete.
+// after its response had begun and before it was complete. A connection that is closed
+// earlier may be one that the server had no room for.
 func (r *requestRun) observeLoss(server fleet.Server, err error) {
 	if held := r.heldSegments(); len(held) > 0 && engine.ClosedByPeer(err) {
 		r.engineEnded = true
--- a/root/traffic/relay/segments_test.go
+++ b/root/traffic/relay/segments_test.go
@@ -58,6 +58,17 @@
 	})
 }
 
+// TestResetConnectionsSayNothingAboutSegments covers connections that a server closes
+// before its response begins, as a full one does with those beyond its limit.
+func TestResetConnectionsSayNothingAboutSegments(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.script = []scriptedResponse{{noResponse: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(h.lost, qt.HasLen, 0)
+	})
+}
+
 // TestFailuresOfOtherKindsSayNothingAboutSegments covers responses that end for reasons
 // other than the end of the engine.
 func TestFailuresOfOtherKindsSayNothingAboutSegments(t *testing.T) {
