--- a/root/control/view/view.go
+++ b/root/control/view/view.go
@@ -53,12 +53,16 @@
 // Valid reports whether the view may be used at time now: its lease is live, or
 // optional for a view that came from a leader.
 func (v *View) Valid(now time.Time) bool {
-	return v.Leased(now) || v.LeaseOptional && v.Term > 0
+	return now.Before(v.LeaseUntil) || v.LeaseOptional && v.Term > 0
 }
 
-// Leased reports whether the lease of the view is live at time now. Without a lease, what
-// the view lacks may exist all the same: a leader may have added it since.
-func (v *View) Leased(now time.Time) bool { return now.Before(v.LeaseUntil) }
+// freshTime is the time before the end of the lease until which a view is fresh, half of a
+// lease: it is renewed several times in the other half.
+const freshTime = 1500 * time.Millisecond
+
+// Fresh reports whether a leader has vouched for the view shortly before now. What a view
+// lacks that isn't fresh may exist all the same: a leader may have added it since.
+func (v *View) Fresh(now time.Time) bool { return now.Add(freshTime).Before(v.LeaseUntil) }
 
 // Newer reports whether v is later than other. Any view is later than nil.
 func (v *View) Newer(other *View) bool {
--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -53,10 +53,10 @@
 }
 
 // knowsService reports whether the routing document defines a service. Before the
-// first document, and without a view lease, every service counts as known.
+// first document, and by a view that is not fresh, every service counts as known.
 func (r *Registrar) knowsService(service string) bool {
 	v := r.views.Load()
-	if v == nil || v.Routes == nil || !v.Leased(time.Now()) {
+	if v == nil || v.Routes == nil || !v.Fresh(time.Now()) {
 		return true
 	}
 	_, known := v.Routes.Service(service)
--- a/root/traffic/relay/errors.go
+++ b/root/traffic/relay/errors.go
@@ -23,12 +23,12 @@
 	return fault.New(fault.NotReady, part, "no routes received yet").WithRetryAfter(noRoutesRetry)
 }
 
-// errNoRoute is the error for a request that matches no route of the view. Only a view
-// with a live lease shows that there is no such route.
+// errNoRoute is the error for a request that matches no route of the view. Only a fresh
+// view shows that there is no such route.
 func errNoRoute(req *Request, v *view.View) *fault.Error {
 	now := time.Now()
 	kind := fault.NotFound
-	if !v.Leased(now) {
+	if !v.Fresh(now) {
 		kind = fault.NotReady
 	}
 	err := fault.New(kind, part, "no route of version %d matches %s%s; view %d/%d, lease left %s",
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -171,8 +171,8 @@
 		return r.MaxBodyBytes
 	}
 	limit := int64(v.Routes.Limits.MaxBodyBytes)
-	if !v.Leased(time.Now()) {
-		// A newer limit may be higher.
+	if !v.Fresh(time.Now()) {
+		// The limit may have been raised since.
 		return max(limit, r.MaxBodyBytes)
 	}
 	return limit
