--- a/root/control/quarantine/state.go
+++ b/root/control/quarantine/state.go
@@ -10,7 +10,7 @@
 
 const (
 	// Duration is how long a segment is kept from engines.
-	Duration = 10 * time.Minute
+	Duration = 3 * time.Minute
 	// MaxEntries bounds the segments in quarantine at the same time.
 	MaxEntries = 1024
 )
