--- a/root/control/machine/segments.go
+++ b/root/control/machine/segments.go
@@ -51,10 +51,10 @@
 		return
 	}
 	quarantined := s.l.r.state.Quarantine()
-	convicted := slices.DeleteFunc(s.tracker.Convicted(s.l.m.now), quarantined.Has)
-	if len(convicted) == 0 {
+	confirmed := slices.DeleteFunc(s.tracker.Confirmed(s.l.m.now), quarantined.Has)
+	if len(confirmed) == 0 {
 		return
 	}
 	s.nextProposal = s.l.m.now.Add(quarantineRetryInterval)
-	s.l.propose(replicated.QuarantineSegments{Segments: convicted}, proposer{})
+	s.l.propose(replicated.QuarantineSegments{Segments: confirmed}, proposer{})
 }
--- a/root/control/quarantine/tracker.go
+++ b/root/control/quarantine/tracker.go
@@ -132,8 +132,8 @@
 	return out
 }
 
-// Convicted returns the suspects that are to be put into quarantine, sorted.
-func (t *Tracker) Convicted(now time.Time) []Segment {
+// Confirmed returns the suspects that are to be put into quarantine, sorted.
+func (t *Tracker) Confirmed(now time.Time) []Segment {
 	var out []Segment
 	for _, s := range slices.Sorted(maps.Keys(t.segments)) {
 		e := t.segments[s]
