--- a/root/control/quarantine/tracker.go
+++ b/root/control/quarantine/tracker.go
@@ -34,7 +34,7 @@
 	incarnation uint64
 }
 
-// evidence is what speaks against one segment.
+// evidence holds the losses of one segment.
 type evidence struct {
 	// engines are those that have been counted, also before the last complete response:
 	// VMs may report a loss again.
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -15,7 +15,7 @@
 	// Lost records that an engine ended under a request with these segments.
 	Lost(held []quarantine.Segment, s fleet.Server)
 	// Completed records that a response to a request with these segments has completed, or
-	// that it goes on long after its engine began with it.
+	// that its output continues long after the first event.
 	Completed(held []quarantine.Segment)
 }
 
@@ -23,7 +23,7 @@
 // are shared most.
 const maxHeldSegments = 64
 
-// survivalTime is how long an engine must go on with its output to show that it survives
+// survivalTime is how long an engine must continue its output to show that it survives
 // the segments of a prompt. One that does not crashes when it begins to answer.
 const survivalTime = time.Second
 
