--- a/root/control/machine/pushes.go
+++ b/root/control/machine/pushes.go
@@ -8,9 +8,9 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
 
-// pushBatch is the number of VMs to which the leader sends at once. Sent to hundreds of
-// VMs in one step, a view occupies the process for longer than an election timeout, and
-// the heartbeats of consensus wait behind it.
+// pushBatch is the number of VMs to which the leader sends at once. A view that is sent to
+// hundreds of VMs in one step occupies a small VM for up to half a second, and the
+// heartbeats of consensus wait behind it.
 const pushBatch = 16
 
 // pushes sends new views to the lease holders, a few at a time.
