--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -131,6 +131,14 @@
 // TimeToFirstOutput returns the time to the first output; 0 if there was none.
 func (l *Lease) TimeToFirstOutput() time.Duration { return l.timeToFirstOutput }
 
+// SinceFirstOutput returns the time since the first output; 0 if there was none.
+func (l *Lease) SinceFirstOutput() time.Duration {
+	if l.timeToFirstOutput == 0 {
+		return 0
+	}
+	return time.Since(l.placed) - l.timeToFirstOutput
+}
+
 // MarkFirstOutput records the time of the first output: the first event, or the
 // whole response if it has no events. The prompt is prefilled by then.
 func (l *Lease) MarkFirstOutput() {
--- a/root/traffic/relay/harness_test.go
+++ b/root/traffic/relay/harness_test.go
@@ -34,7 +34,9 @@
 	// off before its end.
 	events int
 	cut    bool
-	hang   time.Duration
+	// cutByPeer is like cut, and the server closes the connection.
+	cutByPeer bool
+	hang      time.Duration
 	// pause is the delay before the last event.
 	pause time.Duration
 	// raw is the bytes of the event stream, in place of events.
@@ -185,6 +187,9 @@
 	if r.cut {
 		return engine.VerbatimEvent{}, fault.New(fault.StreamCut, "test", "cut")
 	}
+	if r.cutByPeer {
+		return engine.VerbatimEvent{}, fault.Wrap(io.ErrUnexpectedEOF, fault.StreamCut, "test", "cut")
+	}
 	return engine.VerbatimEvent{}, io.EOF
 }
 
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -109,7 +109,7 @@
 	case err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)):
 		outcome = placement.Abandoned
 	case outcome == placement.Lost && resp != nil:
-		r.observeLoss(lease.Server(), err)
+		r.observeLoss(lease, err)
 	}
 	return fault.Is(err, fault.Cancelled), err
 }
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -8,6 +8,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 )
 
 // SegmentObserver observes what requests show about the prompt segments that they hold.
@@ -80,13 +81,20 @@
 	return err.WithRetryAfter(max(defaultRetry, time.Until(time.UnixMilli(entry.Until))))
 }
 
-// observeLoss reports an engine that ended under the request: it closed the connection
-// after its response had begun and before it was complete. A connection that is closed
-// earlier may be one that the server had no room for.
-func (r *requestRun) observeLoss(server fleet.Server, err error) {
-	if held := r.heldSegments(); len(held) > 0 && engine.ClosedByPeer(err) {
+// beginningTime is how long after its first output a response counts as one that begins.
+const beginningTime = 100 * time.Millisecond
+
+// observeLoss reports an engine that ended when it began to answer the request: it closed
+// the connection within the response, and no output or only the first had come. A
+// connection that is closed before the response may be one that the server had no room for,
+// and an engine that ends later has survived the prompt.
+func (r *requestRun) observeLoss(lease *placement.Lease, err error) {
+	if lease.SinceFirstOutput() > beginningTime || !engine.ClosedByPeer(err) {
+		return
+	}
+	if held := r.heldSegments(); len(held) > 0 {
 		r.engineEnded = true
-		r.Segments.Lost(held, server)
+		r.Segments.Lost(held, lease.Server())
 	}
 }
 
--- a/root/traffic/relay/segments_test.go
+++ b/root/traffic/relay/segments_test.go
@@ -58,6 +58,22 @@
 	})
 }
 
+// TestLongAnswersSayNothingAboutSegments covers a stream that an engine breaks off half a
+// second after its first event, as when it ends under another request.
+func TestLongAnswersSayNothingAboutSegments(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.script = []scriptedResponse{{status: 200, events: 2, pause: 500 * time.Millisecond, cutByPeer: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(h.lost, qt.HasLen, 0)
+
+		h.script = []scriptedResponse{{status: 200, events: 2, cutByPeer: true}, {status: 200, events: 2}}
+		_, err = h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(h.lost, qt.HasLen, 2)
+	})
+}
+
 // TestResetConnectionsSayNothingAboutSegments covers connections that a server closes
 // before its response begins, as a full one does with those beyond its limit.
 func TestResetConnectionsSayNothingAboutSegments(t *testing.T) {
