--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -73,6 +73,8 @@
 	retainedEntries uint64
 
 	electionDeadline time.Duration
+	// leaderHeardAt is when a leader was last heard from; 0 before the first one.
+	leaderHeardAt time.Duration
 	// refuseVotesUntil is the time before which the replica grants neither pre-votes nor
 	// votes of a later term, because a leader may hold a lease based on an
 	// acknowledgement of this replica. Leadership transfers and cold starts are
@@ -84,6 +86,7 @@
 	writes      writeTracker
 	messages    []Message
 	readResults []ReadResult
+	changes     []Change
 }
 
 // rules are the safety rules. Tests replace them with broken ones to verify that
@@ -309,8 +312,8 @@
 		c.startReadRound()
 		c.replicate()
 	}
-	out := Output{Persist: c.nextWriteBatch(), Messages: c.messages, Restore: c.pendingRestore, Reads: c.readResults}
-	c.messages, c.pendingRestore, c.readResults = nil, nil, nil
+	out := Output{Persist: c.nextWriteBatch(), Messages: c.messages, Restore: c.pendingRestore, Reads: c.readResults, Changes: c.changes}
+	c.messages, c.pendingRestore, c.readResults, c.changes = nil, nil, nil, nil
 	if c.applied < c.commit {
 		out.Committed = c.log.slice(c.applied+1, c.commit)
 		c.applied = c.commit
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -33,6 +33,7 @@
 // preCampaign starts a pre-vote, which finds out, without incrementing the term,
 // whether an election can be won.
 func (c *Core) preCampaign() {
+	c.noteChange(LeaderSilent, c.leaderID)
 	c.role, c.leaderID = preCandidate, ""
 	c.votes = map[ReplicaID]bool{c.cfg.ID: true}
 	if c.wonVotes() {
@@ -124,7 +125,7 @@
 		if c.refusesVotes() && !m.Transfer && !c.grantedColdPreVote(m) {
 			return
 		}
-		c.becomeFollower(m.Term, "")
+		c.adoptTerm(m)
 	}
 	reply := Message{Kind: MsgVoteReply, To: m.From}
 	canVote := c.vote == "" && c.leaderID == ""
--- a/root/control/consensus/leader.go
+++ b/root/control/consensus/leader.go
@@ -37,6 +37,7 @@
 	c.syncPeers()
 	c.leaderState.firstIndex = c.propose(Entry{Kind: EntryNoop})
 	c.broadcastHeartbeat()
+	c.noteChange(Elected, "")
 }
 
 // bytesAfterCommit returns the size of the entries after the commit index.
@@ -82,11 +83,13 @@
 
 func (c *Core) tickLeader() {
 	if c.now >= c.quorumDeadline() {
+		c.noteChange(QuorumSilent, "")
 		c.becomeFollower(c.term, "")
 		return
 	}
 	if t := &c.leaderState.transfer; t.to != "" && c.now >= t.deadline {
 		if t.timeoutNowSent {
+			c.noteChange(Transferred, t.to)
 			c.becomeFollower(c.term, "")
 			return
 		}
@@ -159,6 +162,7 @@
 		c.leaderState.transfer = transfer{to: successor, timeoutNowSent: true}
 		c.send(Message{Kind: MsgTimeoutNow, To: successor})
 	}
+	c.noteChange(RemovedFromVoters, "")
 	c.becomeFollower(c.term, "")
 }
 
--- a/root/control/consensus/receive.go
+++ b/root/control/consensus/receive.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if m.Term > c.term {
-		c.becomeFollower(m.Term, "")
+		c.adoptTerm(m)
 	}
 	switch m.Kind {
 	case MsgVoteReply:
@@ -50,6 +50,14 @@
 	}
 }
 
+// adoptTerm follows the sender of a message into its later term.
+func (c *Core) adoptTerm(m Message) {
+	if c.role == leader {
+		c.noteChange(LaterTerm, m.From)
+	}
+	c.becomeFollower(m.Term, "")
+}
+
 // rejectStaleTerm tells the leader of an earlier term which term is current.
 func (c *Core) rejectStaleTerm(m Message) {
 	if m.Kind == MsgAppend || m.Kind == MsgSnapshot {
@@ -68,6 +76,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.cold.awaitingFirstLeader = false
+	c.leaderHeardAt = c.now
 	c.resetElectionTimer()
 	c.refuseVotesUntil = max(c.refuseVotesUntil, c.now+c.cfg.ElectionTimeout)
 	return true
--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -137,6 +137,8 @@
 	Restore   *Snapshot
 	Committed []Entry
 	Reads     []ReadResult
+	// Changes are the changes of leadership since the last Output.
+	Changes []Change
 }
 
 // Status describes the current state of a replica.
--- /dev/null
+++ b/root/control/loop/delay.go
@@ -0,0 +1,66 @@
+package loop
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+const (
+	// delayThreshold is the delay from which a step counts as late: half of a heartbeat
+	// interval.
+	delayThreshold = 100 * time.Millisecond
+	// delayLogInterval bounds the lines about late steps.
+	delayLogInterval = time.Second
+)
+
+// delayLog logs steps of the control thread that begin late, with what the thread did
+// before. A thread that is late sends heartbeats late, and a replica that does loses its
+// leadership.
+type delayLog struct {
+	log logr.Logger
+	// wake is when the machine asked for a step, and began the start of the current one.
+	wake, began time.Time
+	// longest and longestEvent are the longest of the steps, counted from the last one
+	// that began on time.
+	longest      time.Duration
+	longestEvent machine.Event
+	event        machine.Event
+	steps        int
+	nextLine     time.Time
+}
+
+// begin records that a step begins.
+func (d *delayLog) begin(now time.Time, ev machine.Event) {
+	late := now.Sub(d.wake)
+	d.began, d.event = now, ev
+	if d.wake.IsZero() || late < delayThreshold {
+		d.longest, d.longestEvent, d.steps = 0, nil, 0
+		return
+	}
+	if !now.Before(d.nextLine) {
+		d.nextLine = now.Add(delayLogInterval)
+		d.log.Info("control thread is late", "late_ms", late.Milliseconds(), "steps", d.steps,
+			"longest_step_ms", d.longest.Milliseconds(), "longest_event", eventName(d.longestEvent))
+	}
+}
+
+// end records that a step ended and when the next one is due.
+func (d *delayLog) end(now, wake time.Time) {
+	if took := now.Sub(d.began); took >= d.longest {
+		d.longest, d.longestEvent = took, d.event
+	}
+	d.steps++
+	d.wake = wake
+}
+
+// eventName names the type of an event, or of the message that it carries.
+func eventName(ev machine.Event) string {
+	if received, ok := ev.(machine.Received); ok {
+		return fmt.Sprintf("%T", received.Message)
+	}
+	return fmt.Sprintf("%T", ev)
+}
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -44,6 +44,7 @@
 	inbox    *inbox
 	nextID   atomic.Uint64
 	steps    atomic.Uint64
+	delay    *delayLog
 
 	results   *waiters[replicated.Result]
 	histories *waiters[machine.History]
@@ -60,6 +61,7 @@
 		handlers:  handlers,
 		log:       log,
 		inbox:     newInbox(),
+		delay:     &delayLog{log: log},
 		results:   newWaiters[replicated.Result](),
 		histories: newWaiters[machine.History](),
 	}
@@ -80,11 +82,14 @@
 		if !ok {
 			return ctx.Err()
 		}
+		l.delay.begin(time.Now(), ev)
 		if err := l.step(ev); err != nil {
 			l.halt(err)
 			return l.discardEvents(ctx)
 		}
-		timer.Reset(time.Until(l.machine.NextWake()))
+		wake := l.machine.NextWake()
+		l.delay.end(time.Now(), wake)
+		timer.Reset(time.Until(wake))
 	}
 }
 
@@ -152,6 +157,12 @@
 		l.handlers.Encode(e)
 	case machine.History:
 		l.histories.deliver(e.ID, e)
+	case machine.LeadershipChanged:
+		l.log.Info("leadership changed", "reason", e.Change.Reason.String(), "term", e.Change.Term,
+			"peer", string(e.Change.Peer), "silence_ms", e.Change.Silence.Milliseconds())
+	case machine.RoutesRead:
+		l.log.Info("routes read", "for", e.Proposer, "version", e.Version, "index", e.Index, "term", e.Term,
+			"waited_ms", e.Waited.Milliseconds())
 	case machine.Halt:
 		l.halt(e.Err)
 	}
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -50,9 +50,8 @@
 	partialUntil time.Time
 	// nextFleetRecord is the earliest time of the next fleet record in the log.
 	nextFleetRecord time.Time
-	// reads holds the proposers of linearizable reads that wait for the consensus
-	// core, by read id.
-	reads      map[uint64]proposer
+	// reads holds the linearizable reads that wait for the consensus core, by read id.
+	reads      map[uint64]pendingRead
 	lastReadID uint64
 }
 
@@ -66,7 +65,7 @@
 		leavingSeq:     map[string]uint64{},
 		restarted:      map[string]uint64{},
 		proposers:      map[uint64]proposer{},
-		reads:          map[uint64]proposer{},
+		reads:          map[uint64]pendingRead{},
 		nextSweep:      m.now.Add(m.cfg.Timing.SweepInterval),
 		nextLedgerTick: m.now.Add(m.cfg.Timing.LedgerTickInterval),
 	}
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -61,7 +61,7 @@
 		}
 	}
 	for _, read := range l.reads {
-		if read.vm == p.vm && read.id == p.id {
+		if read.proposer.vm == p.vm && read.proposer.id == p.id {
 			return true
 		}
 	}
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -257,6 +257,19 @@
 	Err *fault.Error
 }
 
+// LeadershipChanged reports a change of leadership at this replica, for the log.
+type LeadershipChanged struct{ Change consensus.Change }
+
+// RoutesRead reports how this leader answered a read of the routes, for the log.
+type RoutesRead struct {
+	// Proposer is the VM that asked.
+	Proposer string
+	// Version is that of the routes, and Index the log index that the read had to reach.
+	Version, Index, Term uint64
+	// Waited is the time between the request and the answer.
+	Waited time.Duration
+}
+
 // Halt stops the process because the control state is corrupt or a snapshot of it
 // failed.
 type Halt struct{ Err *fault.Error }
@@ -268,6 +281,10 @@
 func (Answer) effect()    {}
 func (Halt) effect()      {}
 
-func (IssueOrder) effect()     {}
-func (History) effect()        {}
+func (IssueOrder) effect() {}
+func (History) effect()    {}
+
+func (LeadershipChanged) effect() {}
+func (RoutesRead) effect()        {}
+
 func (EncodeSnapshot) effect() {}
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -120,6 +120,9 @@
 			r.leader.onReadReady(read)
 		}
 	}
+	for _, change := range out.Changes {
+		r.m.emit(LeadershipChanged{Change: change})
+	}
 	r.compact()
 	return out.Persist != nil || len(out.Committed) > 0 || len(out.Messages) > 0
 }
