--- a/root/control/consensus/read.go
+++ b/root/control/consensus/read.go
@@ -9,19 +9,15 @@
 }
 
 // Read requests the index that must be applied before a linearizable read that
-// starts now can be served. Output returns the result under the same ID: with its
-// next call if this replica holds a lease, otherwise after a heartbeat round that
-// started after this call.
+// starts now can be served. Output returns the result under the same ID after a
+// heartbeat round that started after this call. A lease does not replace the round:
+// it is as good as the local clock, and the clock of a suspended VM stands still.
 func (c *Core) Read(now time.Time, id uint64) {
 	c.advanceClock(now)
 	if c.role != leader || len(c.leaderState.pendingReads) >= maxPendingReads {
 		c.readResults = append(c.readResults, ReadResult{ID: id, Failed: true})
 		return
 	}
-	if c.now < c.leaseUntil() {
-		c.readResults = append(c.readResults, ReadResult{ID: id, Index: c.commit})
-		return
-	}
 	c.leaderState.pendingReads = append(c.leaderState.pendingReads, pendingRead{id: id})
 }
 
