--- a/root/control/control.go
+++ b/root/control/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/consensus"
 	"github.com/wagtaildyke/wagtaildyke/root/control/encode"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
@@ -62,7 +63,7 @@
 		_ = l.Post(ctx, done)
 	})
 	o.Handlers.Encode = encoder.Submit
-	l = loop.New(m, o.Handlers, o.Machine.Self.Incarnation, node.Log().WithName("loop"))
+	l = loop.New(m, o.Handlers, o.Machine.Self.Incarnation, clock.Now, node.Log().WithName("loop"))
 	node.Service("loop", l)
 	if o.Replica != nil {
 		node.Service("encode", encoder)
@@ -74,7 +75,7 @@
 }
 
 func newMachine(o Options) (*machine.Machine, error) {
-	now := time.Now()
+	now := clock.Now()
 	if o.Replica == nil {
 		return machine.New(o.Machine, now), nil
 	}
--- a/root/control/loop/delay.go
+++ b/root/control/loop/delay.go
@@ -22,8 +22,8 @@
 // leadership.
 type delayLog struct {
 	log logr.Logger
-	// wake is when the machine asked for a step, and began the start of the current one.
-	wake, began time.Time
+	// wake is when the machine asked for a step.
+	wake time.Time
 	// longest and longestEvent are the longest of the steps, counted from the last one
 	// that began on time.
 	longest      time.Duration
@@ -36,7 +36,7 @@
 // begin records that a step begins.
 func (d *delayLog) begin(now time.Time, ev machine.Event) {
 	late := now.Sub(d.wake)
-	d.began, d.event = now, ev
+	d.event = ev
 	if d.wake.IsZero() || late < delayThreshold {
 		d.longest, d.longestEvent, d.steps = 0, nil, 0
 		return
@@ -48,9 +48,9 @@
 	}
 }
 
-// end records that a step ended and when the next one is due.
-func (d *delayLog) end(now, wake time.Time) {
-	if took := now.Sub(d.began); took >= d.longest {
+// end records how long a step took and when the next one is due.
+func (d *delayLog) end(took time.Duration, wake time.Time) {
+	if took >= d.longest {
 		d.longest, d.longestEvent = took, d.event
 	}
 	d.steps++
--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
@@ -56,7 +57,7 @@
 // first document, and by a view that is not fresh, every service counts as known.
 func (r *Registrar) knowsService(service string) bool {
 	v := r.views.Load()
-	if v == nil || v.Routes == nil || !v.Fresh(time.Now()) {
+	if v == nil || v.Routes == nil || !v.Fresh(clock.Now()) {
 		return true
 	}
 	_, known := v.Routes.Service(service)
--- a/root/metrics.go
+++ b/root/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	vmetrics "github.com/VictoriaMetrics/metrics"
+
+	"github.com/wagtaildyke/wagtaildyke/clock"
 )
 
 // metricSet holds the metrics that the metrics listener of a platform deployment
@@ -24,7 +26,7 @@
 func (p *Process) gauges() map[string]func() float64 {
 	out := map[string]func() float64{
 		"wagtaildyke_view_term":            func() float64 { return float64(p.viewOrEmpty().Term) },
-		"wagtaildyke_view_lease_seconds":   func() float64 { return time.Until(p.viewOrEmpty().LeaseUntil).Seconds() },
+		"wagtaildyke_view_lease_seconds":   func() float64 { return p.viewOrEmpty().LeaseUntil.Sub(clock.Now()).Seconds() },
 		"wagtaildyke_backend_servers":      func() float64 { return float64(len(p.viewOrEmpty().Servers)) },
 		"wagtaildyke_routes_version":       p.routesVersion,
 		"wagtaildyke_quarantined_segments": func() float64 { return float64(len(p.viewOrEmpty().Segments.Quarantined)) },
--- a/root/operator/fleet.go
+++ b/root/operator/fleet.go
@@ -2,8 +2,8 @@
 
 import (
 	"net/http"
-	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -53,7 +53,7 @@
 		return
 	}
 	out := Fleet{
-		VM: s.VM, Term: v.Term, Seq: v.Seq, TableVersion: v.Table.Version, Ready: v.Ready(time.Now()),
+		VM: s.VM, Term: v.Term, Seq: v.Seq, TableVersion: v.Table.Version, Ready: v.Ready(clock.Now()),
 		VMs: []FleetVM{}, Servers: []FleetServer{},
 	}
 	for _, vm := range v.VMs {
--- a/root/traffic/dispatch/dispatcher.go
+++ b/root/traffic/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
@@ -19,6 +20,9 @@
 	Seed uint64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Suspended returns how long this VM was suspended, which Now does not count; nil
+	// means clock.Suspended.
+	Suspended func() time.Duration
 	// Self is this VM's id, by which its entry finds its rank among the entries of a view.
 	// The rank decides on which servers it gets a slot that is left over when the server's
 	// slots don't divide evenly among the entries.
@@ -40,6 +44,8 @@
 type Dispatcher struct {
 	views *view.Store
 	now   func() time.Time
+	// suspended is Options.Suspended.
+	suspended func() time.Duration
 
 	mu    sync.Mutex
 	state *State
@@ -57,11 +63,15 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Suspended == nil {
+		o.Suspended = clock.Suspended
+	}
 	return &Dispatcher{
-		views:   o.Views,
-		now:     o.Now,
-		state:   NewState(o.Self, o.Entries, o.Seed),
-		waiters: map[uint64]chan result{},
+		views:     o.Views,
+		now:       o.Now,
+		suspended: o.Suspended,
+		state:     NewState(o.Self, o.Entries, o.Seed),
+		waiters:   map[uint64]chan result{},
 	}
 }
 
@@ -90,6 +100,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.applyView()
+	d.state.SetSuspended(d.suspended())
 	now := d.now()
 	id, refused := d.state.Enqueue(now, r)
 	if refused != nil {
@@ -189,6 +200,7 @@
 // serveQueue grants or refuses queued requests and arms the timer. The caller holds
 // the lock.
 func (d *Dispatcher) serveQueue(now time.Time) {
+	d.state.SetSuspended(d.suspended())
 	d.sendResults(d.state.Dispatch(now))
 	d.armTimer(now)
 }
--- a/root/traffic/dispatch/refusal.go
+++ b/root/traffic/dispatch/refusal.go
@@ -19,7 +19,7 @@
 
 // checkReady returns an error if the view does not allow new requests to start.
 func (s *State) checkReady(now time.Time) *fault.Error {
-	if s.view.Ready(now) {
+	if s.view.Ready(s.leaseTime(now)) {
 		return nil
 	}
 	if s.view != nil && s.view.Stopping {
--- a/root/traffic/dispatch/state.go
+++ b/root/traffic/dispatch/state.go
@@ -57,6 +57,8 @@
 	queued  map[uint64]*queuedRequest
 	running map[uint64]*runningRequest
 	retries admission.RetryBudget
+	// suspended is how long this VM was suspended.
+	suspended time.Duration
 }
 
 // NewState returns the state of one of the given number of entries. self is its VM's
@@ -88,6 +90,13 @@
 	return refused
 }
 
+// SetSuspended sets how long this VM was suspended. Leases have run on meanwhile, unlike
+// the clock of the times that are passed to State.
+func (s *State) SetSuspended(d time.Duration) { s.suspended = d }
+
+// leaseTime returns the time by the clock of leases.
+func (s *State) leaseTime(now time.Time) time.Time { return now.Add(s.suspended) }
+
 // updateRank sets this entry's rank to that among the view's entries in order of their
 // VMs' ids. The rank decides on which servers the entry gets a slot that is left over
 // when the server's slots don't divide evenly among the entries. An entry that is
@@ -162,7 +171,7 @@
 // until the view's lease expires, grants all that can run now.
 func (s *State) Dispatch(now time.Time) ([]Grant, []Refused) {
 	refused := s.removeRefused(s.core.Expire(now))
-	if s.view == nil || !now.Before(s.view.LeaseUntil) {
+	if s.view == nil || !s.leaseTime(now).Before(s.view.LeaseUntil) {
 		return nil, refused
 	}
 	var grants []Grant
--- a/root/traffic/frontdoor/addresses.go
+++ b/root/traffic/frontdoor/addresses.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/addresses"
 )
 
@@ -29,7 +30,7 @@
 // can change with each connection.
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
 	v := h.Views.Load()
-	if v == nil || !time.Now().Before(v.LeaseUntil) {
+	if v == nil || !clock.Now().Before(v.LeaseUntil) {
 		h.writeError(w, h.NewID(), "", errNotReady())
 		return
 	}
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 )
@@ -53,7 +54,7 @@
 // announce handles the announcement of a backend server.
 func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
 	id := h.NewID()
-	if !h.Views.Load().Ready(time.Now()) {
+	if !h.Views.Load().Ready(clock.Now()) {
 		// Without a valid view the announcement might not reach the other VMs. It is
 		// refused, so that the server sends it to another VM.
 		h.writeError(w, id, "", errNotReady())
--- a/root/traffic/frontdoor/requests.go
+++ b/root/traffic/frontdoor/requests.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/ledger"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
@@ -106,7 +107,7 @@
 // view.
 func (h *Handler) setCommonFields(r *http.Request, id string, bodyReadAt time.Time, req *forward.Request) (table.Class, error) {
 	v := h.Views.Load()
-	if !v.Ready(bodyReadAt) {
+	if !v.Ready(clock.Now()) {
 		return table.Class{}, errNotReady()
 	}
 	class, err := selectClass(&v.Table, r.Header.Get(ClassHeader), req.Dispatch.Target)
--- a/root/traffic/relay/harness_test.go
+++ b/root/traffic/relay/harness_test.go
@@ -223,8 +223,12 @@
 	*fakeBackend
 	views *view.Store
 	relay *relay.Relay
+	// suspended is how long the VM was suspended, which its monotonic clock does not count.
+	suspended time.Duration
 }
 
+func (h *harness) leaseNow() time.Time { return time.Now().Add(h.suspended) }
+
 func newHarness() *harness {
 	h := &harness{fakeBackend: &fakeBackend{}, views: &view.Store{}}
 	v := &view.View{Term: 1, LeaseOptional: true, Routes: testRoutes(), Servers: []fleet.Server{
@@ -238,7 +242,8 @@
 	placer := placement.NewPlacer(placement.NewState("vm", "a", 1))
 	placer.SetView(v)
 	h.relay = relay.New(relay.Options{
-		Views: h.views, Placer: placer, Observer: h.fakeBackend, Segments: h.fakeBackend, Backend: h.fakeBackend, Random: func() float64 { return 0 }, Log: logr.Discard(),
+		LeaseNow: h.leaseNow,
+		Views:    h.views, Placer: placer, Observer: h.fakeBackend, Segments: h.fakeBackend, Backend: h.fakeBackend, Random: func() float64 { return 0 }, Log: logr.Discard(),
 		RetryBudget: &relay.RetryBudget{Ratio: 0, Extra: 3, Window: 10 * time.Second, Entries: func() int { return 1 }},
 	})
 	return h
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -141,7 +142,10 @@
 	MaxBodyBytes int64
 	// Started is when this process started to serve requests.
 	Started time.Time
-	Log     logr.Logger
+	// LeaseNow is the clock by which the leases of views are measured; nil means
+	// clock.Now.
+	LeaseNow func() time.Time
+	Log      logr.Logger
 }
 
 // Observer counts attempts by outcome.
@@ -159,7 +163,12 @@
 }
 
 // New returns a Relay.
-func New(o Options) *Relay { return &Relay{Options: o} }
+func New(o Options) *Relay {
+	if o.LeaseNow == nil {
+		o.LeaseNow = clock.Now
+	}
+	return &Relay{Options: o}
+}
 
 // InFlight returns the number of requests being served.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
@@ -171,7 +180,7 @@
 		return r.MaxBodyBytes
 	}
 	limit := int64(v.Routes.Limits.MaxBodyBytes)
-	if !v.Fresh(time.Now()) {
+	if !v.Fresh(r.LeaseNow()) {
 		// The limit may have been raised since.
 		return max(limit, r.MaxBodyBytes)
 	}
@@ -209,7 +218,7 @@
 	}
 	route, found := v.Routes.Match(req.Host, req.Path)
 	if !found {
-		return nil, nil, 0, errNoRoute(req, v)
+		return nil, nil, 0, errNoRoute(req, v, r.LeaseNow())
 	}
 	service, _ := v.Routes.Service(route.PickService(r.Random()))
 	return route, service, v.Routes.Version, nil
--- a/root/traffic/relay/relay_test.go
+++ b/root/traffic/relay/relay_test.go
@@ -285,6 +285,19 @@
 	})
 }
 
+// TestSuspendedEntryDeniesNoRoute guards against a 404 by routes that were replaced while
+// the VM of the entry was suspended with its clock.
+func TestSuspendedEntryDeniesNoRoute(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		leased := *h.views.Load()
+		leased.LeaseUntil = time.Now().Add(3 * time.Second)
+		h.views.Publish(&leased)
+		h.suspended = 5 * time.Second
+		_, err := h.call("/none/x")
+		c.Assert(fault.Is(err, fault.NotReady), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
 // TestUnmatchedRequestIsNotFoundOnlyByAFreshView guards against a 404 by routes that may
 // have been replaced, which must be in force 2 s after their acknowledgement. Requests that
 // the last routes allow are served all the same.
