--- a/root/control/loop/delay.go
+++ b/root/control/loop/delay.go
@@ -17,8 +17,8 @@
 	delayLogInterval = time.Second
 )
 
-// delayLog logs steps of the control thread that begin late, with what the thread did
-// before. A thread that is late sends heartbeats late, and a replica that does loses its
+// delayLog logs steps of the control thread that begin late, or whose event has waited,
+// with what the thread did before. A thread that is late sends heartbeats late, and a replica that does loses its
 // leadership.
 type delayLog struct {
 	log logr.Logger
@@ -33,17 +33,17 @@
 	nextLine     time.Time
 }
 
-// begin records that a step begins.
-func (d *delayLog) begin(now time.Time, ev machine.Event) {
+// begin records that a step begins whose event has waited for some time.
+func (d *delayLog) begin(now time.Time, waited time.Duration, ev machine.Event) {
 	late := now.Sub(d.wake)
 	d.event = ev
-	if d.wake.IsZero() || late < delayThreshold {
+	if d.wake.IsZero() || late < delayThreshold && waited < delayThreshold {
 		d.longest, d.longestEvent, d.steps = 0, nil, 0
 		return
 	}
 	if !now.Before(d.nextLine) {
 		d.nextLine = now.Add(delayLogInterval)
-		d.log.Info("control thread is late", "late_ms", late.Milliseconds(), "steps", d.steps,
+		d.log.Info("control thread is late", "late_ms", late.Milliseconds(), "event", eventName(ev), "waited_ms", waited.Milliseconds(), "steps", d.steps,
 			"longest_step_ms", d.longest.Milliseconds(), "longest_event", eventName(d.longestEvent))
 	}
 }
--- a/root/control/loop/inbox.go
+++ b/root/control/loop/inbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
@@ -18,15 +19,21 @@
 // inbox holds two queues of events for the control thread. Events of different queues
 // may overtake each other.
 type inbox struct {
-	reliable  chan machine.Event
-	droppable chan machine.Event
+	reliable  chan queuedEvent
+	droppable chan queuedEvent
 	dropped   atomic.Uint64
 }
 
+// queuedEvent is an event and when it was posted.
+type queuedEvent struct {
+	machine.Event
+	postedAt time.Time
+}
+
 func newInbox() *inbox {
 	return &inbox{
-		reliable:  make(chan machine.Event, reliableCapacity),
-		droppable: make(chan machine.Event, droppableCapacity),
+		reliable:  make(chan queuedEvent, reliableCapacity),
+		droppable: make(chan queuedEvent, droppableCapacity),
 	}
 }
 
@@ -62,16 +69,17 @@
 // post enqueues an event. For a reliable event it blocks until there is space or ctx
 // ends. For a droppable one it never blocks.
 func (b *inbox) post(ctx context.Context, ev machine.Event) error {
+	queued := queuedEvent{Event: ev, postedAt: time.Now()}
 	if isDroppable(ev) {
 		select {
-		case b.droppable <- ev:
+		case b.droppable <- queued:
 		default:
 			b.dropped.Add(1)
 		}
 		return nil
 	}
 	select {
-	case b.reliable <- ev:
+	case b.reliable <- queued:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -86,8 +86,8 @@
 			return ctx.Err()
 		}
 		now, began := l.now(), time.Now()
-		l.delay.begin(now, ev)
-		if err := l.step(now, ev); err != nil {
+		l.delay.begin(now, began.Sub(ev.postedAt), ev.Event)
+		if err := l.step(now, ev.Event); err != nil {
 			l.halt(err)
 			return l.discardEvents(ctx)
 		}
@@ -97,16 +97,16 @@
 	}
 }
 
-func (l *Loop) next(ctx context.Context, timer *time.Timer) (machine.Event, bool) {
+func (l *Loop) next(ctx context.Context, timer *time.Timer) (queuedEvent, bool) {
 	select {
 	case <-ctx.Done():
-		return nil, false
+		return queuedEvent{}, false
 	case ev := <-l.inbox.reliable:
 		return ev, true
 	case ev := <-l.inbox.droppable:
 		return ev, true
 	case <-timer.C:
-		return machine.Wake{}, true
+		return queuedEvent{Event: machine.Wake{}, postedAt: time.Now()}, true
 	}
 }
 
