--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -62,6 +62,11 @@
 	sessions map[string]*session
 
 	sentBytes, receivedBytes atomic.Uint64
+
+	// handshakes bounds the incoming sessions that are being set up, and codecs the
+	// messages that are being encoded or decoded, without those of sessions that carry
+	// consensus messages.
+	handshakes, codecs gate
 }
 
 // Dialer opens connections to peers.
@@ -81,6 +86,9 @@
 		log:      log,
 		queues:   map[string]*queue{},
 		sessions: map[string]*session{},
+
+		handshakes: newGate(maxHandshakes),
+		codecs:     newProcessorGate(),
 	}
 }
 
@@ -123,7 +131,7 @@
 	}
 	defer m.unregister(id, s)
 	m.log.Info("session opened", "peer", id)
-	err := s.run(ctx, q, m.encode, func(frame []byte) { m.handleFrame(ctx, id, frame) })
+	err := s.run(ctx, q, func(msg machine.Message) []byte { return m.encode(s, msg) }, func(frame []byte) { m.handleFrame(ctx, s, frame) })
 	m.log.Info("session closed", "peer", id, "reason", errorText(err))
 	return err
 }
@@ -158,7 +166,8 @@
 }
 
 // encode returns the frame of a message, or nil if it can't be encoded.
-func (m *Mesh) encode(msg machine.Message) []byte {
+func (m *Mesh) encode(s *session, msg machine.Message) []byte {
+	defer m.enterCodecs(s, msg)()
 	frame, err := codec.EncodeMessage(msg)
 	if err != nil {
 		m.log.Error(err, "dropped a message: encoding failed")
@@ -168,20 +177,43 @@
 	return frame
 }
 
-func (m *Mesh) handleFrame(ctx context.Context, from string, frame []byte) {
+// enterCodecs waits until a message of a session may be encoded or decoded. The result ends
+// that. A consensus message makes its session one of two replicas, which never waits. msg
+// is nil for a message that is still to be decoded.
+func (m *Mesh) enterCodecs(s *session, msg machine.Message) (leave func()) {
+	if _, ok := msg.(machine.ConsensusMessage); ok {
+		s.betweenReplicas.Store(true)
+	}
+	if s.betweenReplicas.Load() {
+		return func() {}
+	}
+	m.codecs.enter()
+	return m.codecs.leave
+}
+
+func (m *Mesh) handleFrame(ctx context.Context, s *session, frame []byte) {
+	from := s.peer.VM
 	m.receivedBytes.Add(uint64(len(frame)))
-	var msg machine.Message
-	err := supervise.Catch(part, func() (err error) {
-		msg, err = codec.DecodeMessage(frame)
-		return err
-	})
+	msg, err := m.decode(s, frame)
 	if err != nil {
 		m.log.Error(err, "dropped a frame: decoding failed", "peer", from)
 		return
 	}
+	if _, ok := msg.(machine.ConsensusMessage); ok {
+		s.betweenReplicas.Store(true)
+	}
 	m.deliver(ctx, from, msg)
 }
 
+func (m *Mesh) decode(s *session, frame []byte) (msg machine.Message, err error) {
+	defer m.enterCodecs(s, nil)()
+	err = supervise.Catch(part, func() (err error) {
+		msg, err = codec.DecodeMessage(frame)
+		return err
+	})
+	return msg, err
+}
+
 // Stats holds the total size of the frames encoded for sending and of the received
 // ones, and the number of open sessions. The first includes frames that were dropped
 // or whose write failed.
@@ -290,6 +322,8 @@
 	}
 	var s *session
 	err := supervise.Catch(part, func() (err error) {
+		a.mesh.handshakes.enter()
+		defer a.mesh.handshakes.leave()
 		s, err = accept(conn, a.mesh.local)
 		return err
 	})
--- a/root/peers/session.go
+++ b/root/peers/session.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -21,7 +22,7 @@
 	writeTimeout      = 2 * time.Second
 	keepAliveInterval = 1 * time.Second
 	streamsPerSession = 2
-	readBufferBytes   = 64 << 10
+	readBufferBytes   = 4 << 10
 )
 
 func muxConfig() *yamux.Config {
@@ -42,7 +43,9 @@
 	// initiator is the VM that dialed.
 	initiator string
 	openedAt  time.Time
-	streams   [streamsPerSession]*stream
+	// betweenReplicas is set once a consensus message was sent or received.
+	betweenReplicas atomic.Bool
+	streams         [streamsPerSession]*stream
 }
 
 // stream is a yamux stream with a buffered reader. The reader is kept after the
