--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -129,6 +129,7 @@
 
 		SegmentLosses:     fromLosses(m.SegmentLosses),
 		CompletedSegments: fromSegments(m.CompletedSegments),
+		ServerDemands:     fromServerDemands(m.ServerDemands),
 	}
 	for _, h := range m.Heard {
 		out.Heard = append(out.Heard, &api.Heard{Server: fromServer(h.Server), AgeNanos: int64(h.Age)})
@@ -153,6 +154,7 @@
 
 		SegmentLosses:     toLosses(p.SegmentLosses),
 		CompletedSegments: toSegments(p.CompletedSegments),
+		ServerDemands:     toServerDemands(p.ServerDemands),
 	}
 	for _, h := range p.Heard {
 		out.Heard = append(out.Heard, toHeard(h))
@@ -169,6 +171,8 @@
 		Shares:     fromShares(m.Shares),
 		Left:       m.Left,
 		Confirm:    m.Confirm,
+
+		ServerShares: fromServerShares(m.ServerShares),
 	}
 	update, err := fromUpdate(m.Update)
 	out.Update = update
@@ -184,6 +188,8 @@
 		Shares:  toShares(p.Shares),
 		Left:    p.Left,
 		Confirm: p.Confirm,
+
+		ServerShares: toServerShares(p.ServerShares),
 	}
 	update, err := toUpdate(p.Update)
 	out.Update = update
--- a/root/build.go
+++ b/root/build.go
@@ -71,8 +71,10 @@
 			},
 			Publish:   p.publish,
 			SetShares: p.setShares,
-			Issue:     p.orders.Submit,
-			Halt:      p.halt,
+
+			SetServerShares: p.setServerShares,
+			Issue:           p.orders.Submit,
+			Halt:            p.halt,
 		},
 		Parent: p.tree,
 	})
@@ -114,6 +116,11 @@
 	p.dispatcher.SetShares(out)
 }
 
+func (p *Process) setServerShares(shares []fleet.ServerShare) {
+	// Only a placer reports servers with a limit.
+	p.placer.SetServerShares(shares)
+}
+
 // timingFor returns the timing parameters of the control state. In a platform
 // deployment, the fleet discovery time and the timeout for backend servers are
 // multiples of the interval of the servers' heartbeats.
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -30,8 +30,10 @@
 	Persist   func(consensus.WriteBatch)
 	Publish   func(*view.View)
 	SetShares func([]fleet.Share)
-	Issue     func(machine.IssueOrder)
-	Encode    func(machine.EncodeSnapshot)
+	// SetServerShares passes traffic its shares of the limits of backend servers.
+	SetServerShares func([]fleet.ServerShare)
+	Issue           func(machine.IssueOrder)
+	Encode          func(machine.EncodeSnapshot)
 	// Halt stops the process after a fatal error in the control state.
 	Halt func(*fault.Error)
 }
@@ -153,6 +155,8 @@
 		l.handlers.Publish(e.View)
 	case machine.SetShares:
 		l.handlers.SetShares(e.Shares)
+	case machine.SetServerShares:
+		l.handlers.SetServerShares(e.Shares)
 	case machine.Answer:
 		l.results.deliver(e.ID, e.Result)
 	case machine.IssueOrder:
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -45,6 +45,7 @@
 	nextLoadRefresh time.Time
 	orders          *orders
 	shares          *shares
+	serverLimits    *serverLimits
 	segments        *segments
 	// partialUntil is when the fleet is assumed to be fully known; zero once it is.
 	partialUntil time.Time
@@ -81,6 +82,7 @@
 	}
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
+	l.serverLimits = &serverLimits{l: l, known: map[string]serverLimit{}}
 	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
 	l.segments = newSegments(l)
 	l.pushView()
--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -34,9 +34,11 @@
 	reportedBefore time.Duration
 	reportedTerm   uint64
 	traffic        TrafficReport
-	segments       segmentReports
-	state          fleet.State
-	stopped        bool
+	// trafficAt is when traffic arrived.
+	trafficAt time.Time
+	segments  segmentReports
+	state     fleet.State
+	stopped   bool
 }
 
 type announcement struct {
@@ -88,7 +90,7 @@
 	return fleet.Server{ID: id}
 }
 
-func (c *leaseClient) onTraffic(t TrafficReport) { c.traffic = t }
+func (c *leaseClient) onTraffic(t TrafficReport) { c.traffic, c.trafficAt = t, c.m.now }
 
 func (c *leaseClient) onStop(phase StopPhase) {
 	c.state = fleet.Leaving
@@ -161,12 +163,22 @@
 
 		SegmentLosses:     losses,
 		CompletedSegments: completed,
+		ServerDemands:     c.serverDemands(),
 
 		Replica: c.replicaID(),
 		Stopped: c.stopped,
 	}
 }
 
+// serverDemands returns the demands of the last traffic report with their present age.
+func (c *leaseClient) serverDemands() []fleet.ServerDemand {
+	out := slices.Clone(c.traffic.ServerDemands)
+	for i := range out {
+		out[i].Age += c.m.now.Sub(c.trafficAt)
+	}
+	return out
+}
+
 func (c *leaseClient) routesVersion() uint64 {
 	if c.current.Routes == nil {
 		return 0
@@ -282,6 +294,9 @@
 	if len(g.Shares) > 0 {
 		c.m.emit(SetShares{Shares: g.Shares})
 	}
+	if len(g.ServerShares) > 0 {
+		c.m.emit(SetServerShares{Shares: g.ServerShares})
+	}
 }
 
 // updateReported records what the leader has confirmed. A leader of another term is
--- a/root/control/machine/lease_holders.go
+++ b/root/control/machine/lease_holders.go
@@ -20,6 +20,7 @@
 	confirmed, pushed view.Versions
 	tableVersion      uint64
 	demands           []fleet.Demand
+	serverDemands     []fleet.ServerDemand
 	// loads are the holder's own requests per backend server, counted after its
 	// traffic had switched to view loadsSeq of this term.
 	loads    []fleet.OwnLoad
@@ -43,6 +44,8 @@
 	h.vm = msg.VM
 	h.expiresAt = l.m.now.Add(lease)
 	h.demands = msg.Demands
+	h.serverDemands = msg.ServerDemands
+	l.serverLimits.observe(msg.ServerDemands)
 	h.loads = msg.Loads
 	h.loadsSeq = 0
 	if msg.LoadsTerm == l.term {
@@ -54,7 +57,7 @@
 		h.tableVersion = msg.TableVersion
 	}
 	h.pushed = h.confirmed
-	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.forVM(to), Left: l.hasLeft(to)}
+	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.forVM(to), Left: l.hasLeft(to), ServerShares: l.serverLimits.forVM(to)}
 	if h.confirmed.Seq != l.seq() {
 		g.Update = l.views.Since(h.confirmed)
 		h.pushed = l.views.Versions()
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -41,6 +41,8 @@
 	// as the leader has not confirmed them.
 	SegmentLosses     []quarantine.Loss
 	CompletedSegments []quarantine.Segment
+	// ServerDemands are the sender's demands for backend servers that have named a limit.
+	ServerDemands []fleet.ServerDemand
 	// Replica is the consensus identity of the sender; empty if it runs no replica.
 	Replica consensus.ReplicaID
 	// Stopped is set in the last Renew of a process that has drained.
@@ -60,6 +62,9 @@
 	Update *view.Update
 	// Shares are the receiver's shares of each class's fleet-wide limits.
 	Shares []fleet.Share
+	// ServerShares are the receiver's shares of the limits of backend servers, for those
+	// that it has reported a demand for.
+	ServerShares []fleet.ServerShare
 	// Left is set once every other holder of a live lease has applied a view in which
 	// the receiver is leaving.
 	Left bool
@@ -140,6 +145,7 @@
 	ViewTerm, ViewSeq uint64
 	Loads             []fleet.OwnLoad
 	Demands           []fleet.Demand
+	ServerDemands     []fleet.ServerDemand
 }
 
 // SegmentReport holds what this process's requests have shown about prompt segments
@@ -226,6 +232,9 @@
 // SetShares passes traffic its shares of the fleet-wide limits.
 type SetShares struct{ Shares []fleet.Share }
 
+// SetServerShares passes traffic its shares of the limits of backend servers.
+type SetServerShares struct{ Shares []fleet.ServerShare }
+
 // Answer is the result of a Submit.
 type Answer struct {
 	ID     uint64
@@ -278,8 +287,11 @@
 func (Send) effect()      {}
 func (Publish) effect()   {}
 func (SetShares) effect() {}
-func (Answer) effect()    {}
-func (Halt) effect()      {}
+
+func (SetServerShares) effect() {}
+
+func (Answer) effect() {}
+func (Halt) effect()   {}
 
 func (IssueOrder) effect() {}
 func (History) effect()    {}
--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -57,6 +57,9 @@
 	// RetryAfter is how long the backend server, which refused the request, wants no
 	// further ones; 0 if it did not say.
 	RetryAfter time.Duration
+	// LimitPerSecond is the number of requests per second that the backend server takes
+	// from all VMs together; 0 if it names none.
+	LimitPerSecond float64
 }
 
 // Event is one server-sent event of a response.
--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -13,6 +13,11 @@
 	Leaving bool
 	// RetryAfter is how long the server wants no further requests; 0 if it did not say.
 	RetryAfter time.Duration
+	// LimitPerSecond is the number of requests per second that the server takes from all
+	// VMs together; 0 if it named none. NamesNoLimit says that a server without a limit
+	// would have said so with this response.
+	LimitPerSecond float64
+	NamesNoLimit   bool
 }
 
 // noticeMemory is how long the notices of a server that is in no view are kept after
@@ -33,10 +38,16 @@
 
 // Observe applies a notice from the response to the request. It reports whether the
 // notice says more than earlier ones of the server.
-func (r *Run) Observe(now time.Time, n Notice) bool { return r.state.observeNotice(now, r.server, n) }
+func (r *Run) Observe(now time.Time, n Notice) bool {
+	limited := false
+	if n.LimitPerSecond > 0 || n.NamesNoLimit {
+		limited = r.state.observeLimit(now, r, n.LimitPerSecond)
+	}
+	return r.state.observeNotice(now, r.server, n) || limited
+}
 
 func (s *State) observeNotice(now time.Time, srv *server, n Notice) bool {
-	if n == (Notice{}) {
+	if !n.Leaving && n.RetryAfter == 0 {
 		return false
 	}
 	known := s.notices[srv.ID]
@@ -76,9 +87,14 @@
 	}
 }
 
-// heldFor returns how long the server wants no requests; 0 or less if it wants some.
+// heldFor returns how long the server wants no requests from this entry; 0 or less if it
+// wants some.
 func (s *State) heldFor(now time.Time, srv *server) time.Duration {
-	return s.noticesOf(srv).heldUntil.Sub(now)
+	held := s.noticesOf(srv).heldUntil.Sub(now)
+	if l := s.limitOf(srv); l != nil {
+		held = max(held, l.wait(now))
+	}
+	return held
 }
 
 // HeldFor returns the time until a server of the request's service and stage wants
@@ -106,7 +122,7 @@
 // never refused as Overloaded here: another engine may run the whole request.
 func (s *State) errNoCandidate(now time.Time, req Request) *fault.Error {
 	if held := s.HeldFor(now, req); held > 0 && req.Stage != Prefill {
-		return fault.New(fault.Overloaded, part, "every server of service %q asked for a pause", req.Service).WithRetryAfter(held)
+		return fault.New(fault.Overloaded, part, "every server of service %q asked for a pause or for fewer requests", req.Service).WithRetryAfter(held)
 	}
 	return fault.New(fault.NoBackend, part, "service %q has no active server for this request", req.Service).WithRetryAfter(noBackendRetry)
 }
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -105,6 +105,20 @@
 	return p.state.OwnLoads()
 }
 
+// SetServerShares applies this entry's shares of the servers' limits.
+func (p *Placer) SetServerShares(shares []fleet.ServerShare) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.SetServerShares(time.Now(), shares)
+}
+
+// ServerDemands returns this entry's demand for each server that has named a limit.
+func (p *Placer) ServerDemands() []fleet.ServerDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.ServerDemands(time.Now())
+}
+
 // Entries returns the number of VMs with an entry, at least 1.
 func (p *Placer) Entries() int {
 	p.mu.Lock()
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -80,6 +80,8 @@
 	byID          map[string]*server
 	// notices holds what servers said about further requests, by server id.
 	notices map[string]*serverNotices
+	// limits holds the limits that servers have named, by server id.
+	limits  map[string]*serverLimit
 	filters []Filter
 	// scorers rank servers for whole requests and decoding, prefillScorers for
 	// prefill.
@@ -109,6 +111,7 @@
 		entries: 1,
 		byID:    map[string]*server{},
 		notices: map[string]*serverNotices{},
+		limits:  map[string]*serverLimit{},
 		filters: []Filter{ServiceFilter{}, StageFilter{}, ExcludedFilter{}},
 		scorers: []weightedScorer{
 			{LoadScorer{}, 1}, {PrefillTimeScorer{}, 1}, {ErrorScorer{}, errorWeight}, {DomainScorer{}, domainWeight},
@@ -209,6 +212,7 @@
 	if s.view == nil || !s.view.Valid(now) {
 		return nil, nil, fault.New(fault.NotReady, part, "no valid view of the control state").WithRetryAfter(noBackendRetry)
 	}
+	s.countDemand(&req)
 	all := s.candidates(now, &req)
 	if len(all) == 0 {
 		return nil, nil, s.errNoCandidate(now, req)
@@ -221,6 +225,7 @@
 		return nil, nil, fault.New(fault.Overloaded, part, "every server of service %q is full", req.Service).WithRetryAfter(overloadedRetry)
 	}
 	chosen := s.choose(&req, kept)
+	s.takeToken(now, s.byID[chosen.Server.ID])
 	if s.mustQueue(&req, s.byID[chosen.Server.ID]) {
 		return nil, s.enqueue(now, req, chosen, len(kept)), nil
 	}
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -209,9 +209,13 @@
 // observeNotice passes on what a server says in the head of a response about further
 // requests, and logs what is new.
 func (r *requestRun) observeNotice(lease *placement.Lease, h engine.Head) {
-	if lease.Observe(placement.Notice{Leaving: h.Leaving, RetryAfter: h.RetryAfter}) {
-		r.Log.Info("server wants no requests", "request", r.req.ID, "server", lease.Server().ID,
-			"leaving", h.Leaving, "retry_after", h.RetryAfter.String())
+	notice := placement.Notice{
+		Leaving: h.Leaving, RetryAfter: h.RetryAfter, LimitPerSecond: h.LimitPerSecond,
+		NamesNoLimit: h.LimitPerSecond == 0 && h.Status/100 == 2,
+	}
+	if lease.Observe(notice) {
+		r.Log.Info("server wants other requests", "request", r.req.ID, "server", lease.Server().ID,
+			"leaving", h.Leaving, "retry_after", h.RetryAfter.String(), "limit_per_second", h.LimitPerSecond)
 	}
 }
 
--- a/root/traffic/usage/usage.go
+++ b/root/traffic/usage/usage.go
@@ -23,6 +23,8 @@
 	Loads() []fleet.OwnLoad
 	// Demands returns this process's demand for each class.
 	Demands() []fleet.Demand
+	// ServerDemands returns this process's demand for each server that has named a limit.
+	ServerDemands() []fleet.ServerDemand
 }
 
 // DispatchSource is the Source of a process that queues requests by class.
@@ -50,6 +52,9 @@
 	return out
 }
 
+// ServerDemands implements Source. The product's own API has no limits of servers.
+func (d DispatchSource) ServerDemands() []fleet.ServerDemand { return nil }
+
 // PlacementSource is the Source of a process without classes, whose requests are
 // placed by routes.
 type PlacementSource struct{ *placement.Placer }
@@ -60,6 +65,9 @@
 // Demands implements Source. Without classes there is no demand to report.
 func (p PlacementSource) Demands() []fleet.Demand { return nil }
 
+// ServerDemands implements Source.
+func (p PlacementSource) ServerDemands() []fleet.ServerDemand { return p.Placer.ServerDemands() }
+
 // Reporter periodically reports this process's traffic to the control thread.
 type Reporter struct {
 	loop     *loop.Loop
@@ -99,5 +107,6 @@
 	}
 	out.Loads = r.source.Loads()
 	out.Demands = r.source.Demands()
+	out.ServerDemands = r.source.ServerDemands()
 	return out
 }
