--- a/root/control/machine/node_test.go
+++ b/root/control/machine/node_test.go
@@ -45,6 +45,8 @@
 	// inFlight counts the node's requests in flight on the engine.
 	inFlight int
 	pending  map[uint64]table.Change
+	// serverShares are the last shares of the limits of servers.
+	serverShares []fleet.ServerShare
 }
 
 type write struct {
@@ -140,6 +142,8 @@
 		n.publish(e.View)
 	case machine.Answer:
 		n.onAnswer(e)
+	case machine.SetServerShares:
+		n.serverShares = e.Shares
 	case machine.EncodeSnapshot:
 		n.encoding = &e
 	case machine.IssueOrder:
