--- a/api/codec/segments.go
+++ b/api/codec/segments.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wagtaildyke/wagtaildyke/api"
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 )
 
@@ -27,7 +28,7 @@
 	var out []*api.SegmentLoss
 	for _, l := range losses {
 		out = append(out, &api.SegmentLoss{
-			Segment: uint64(l.Segment), Server: l.Server, Incarnation: l.Incarnation, AgeNanos: int64(time.Since(l.At)),
+			Segment: uint64(l.Segment), Server: l.Server, Incarnation: l.Incarnation, AgeNanos: int64(clock.Now().Sub(l.At)),
 		})
 	}
 	return out
@@ -35,7 +36,7 @@
 
 func toLosses(losses []*api.SegmentLoss) []quarantine.Loss {
 	var out []quarantine.Loss
-	now := time.Now()
+	now := clock.Now()
 	for _, l := range losses {
 		out = append(out, quarantine.Loss{
 			Segment: quarantine.Segment(l.Segment), Server: l.Server, Incarnation: l.Incarnation,
@@ -54,7 +55,7 @@
 		out.Quarantined = append(out.Quarantined, &api.QuarantinedSegment{Segment: uint64(e.Segment), UntilMs: e.Until})
 	}
 	for _, s := range l.Suspects {
-		out.Suspects = append(out.Suspects, &api.SuspectSegment{Segment: uint64(s.Segment), AgeMs: time.Since(s.Since).Milliseconds()})
+		out.Suspects = append(out.Suspects, &api.SuspectSegment{Segment: uint64(s.Segment), AgeMs: clock.Now().Sub(s.Since).Milliseconds()})
 	}
 	return out
 }
@@ -67,7 +68,7 @@
 	for _, e := range p.Quarantined {
 		out.Quarantined = append(out.Quarantined, quarantine.Entry{Segment: quarantine.Segment(e.Segment), Until: e.UntilMs})
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, s := range p.Suspects {
 		since := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 		out.Suspects = append(out.Suspects, quarantine.Suspect{Segment: quarantine.Segment(s.Segment), Since: since})
--- a/root/traffic/segments/observer.go
+++ b/root/traffic/segments/observer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
@@ -34,7 +35,7 @@
 // Lost records that an engine ended under a request with these segments.
 func (o *Observer) Lost(held []quarantine.Segment, s fleet.Server) {
 	o.mu.Lock()
-	o.state.Lost(held, s.ID, s.Incarnation, time.Now())
+	o.state.Lost(held, s.ID, s.Incarnation, clock.Now())
 	o.mu.Unlock()
 	o.wake()
 }
@@ -42,7 +43,7 @@
 // Completed records that a response to a request with these segments has completed.
 func (o *Observer) Completed(held []quarantine.Segment) {
 	o.mu.Lock()
-	o.state.Completed(held, time.Now())
+	o.state.Completed(held, clock.Now())
 	o.mu.Unlock()
 	if v := o.views.Load(); v != nil && v.Segments.HasSuspect(held) {
 		o.wake()
