--- a/root/platform.go
+++ b/root/platform.go
@@ -143,10 +143,15 @@
 // process.
 const drainReserve = 2200 * time.Millisecond
 
+// lastAnswerTime is how long before the connections are closed the last requests are
+// answered.
+const lastAnswerTime = 200 * time.Millisecond
+
 // drainPlatform takes the process out of service within the platform's grace period.
 // The listener stays open until drainReserve before its end, because callers may still
 // use a cached address. In the second half of that time responses close their
-// connections, so that callers move on. The rest takes up to drainReserve less
+// connections, so that callers move on, and requests that may last longer than the process
+// are refused. The rest takes up to drainReserve less
 // addressAgeMargin, which is 1.7 s, also when the grace period is shorter.
 func (p *Process) drainPlatform(ended <-chan struct{}) error {
 	p.log.Info("stopping: withdrawing from the directory, reporting not ready")
@@ -155,10 +160,12 @@
 	if p.routed != nil {
 		grace := settings.Seconds(p.settings.Platform.GracePeriodSeconds)
 		open := max(0, grace-drainReserve)
+		limit := drainReserve - handoverDelay - addressAgeMargin
 		wait(open/2, ended, nil)
+		p.routed.EndAt(time.Now().Add(open/2 + limit - lastAnswerTime))
 		p.routed.Server.CloseAfterResponses()
 		wait(open/2, ended, nil)
-		err = p.drainRouted(drainReserve - handoverDelay - addressAgeMargin)
+		err = p.drainRouted(limit)
 	}
 	p.post(machine.Stop{Phase: machine.StopDone})
 	wait(handoverDelay, ended, nil)
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -159,6 +159,7 @@
 type Relay struct {
 	Options
 	inFlight   atomic.Int64
+	ending     *ending
 	successLog logSampler
 }
 
@@ -167,7 +168,7 @@
 	if o.LeaseNow == nil {
 		o.LeaseNow = clock.Now
 	}
-	return &Relay{Options: o}
+	return &Relay{Options: o, ending: newEnding()}
 }
 
 // InFlight returns the number of requests being served.
@@ -203,8 +204,13 @@
 	if req.Timeout > 0 && req.Timeout < route.Timeout {
 		run.deadline = req.Arrived.Add(req.Timeout)
 	}
+	if err := r.ending.refuse(run.deadline); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, run.deadline)
 	defer cancel()
+	stop := context.AfterFunc(r.ending.reached, cancel)
+	defer stop()
 	r.RetryBudget.CountRequest(service.Name, req.Arrived)
 	return run.serve(ctx)
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -275,8 +275,11 @@
 // passed deadline as such, and whether any attempt may have run the request. If none
 // has, the error suggests a delay before a retry: at least until a server wants requests.
 func (r *requestRun) finalError(ctx context.Context, failed *fault.Error) *fault.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failed = fault.Wrap(failed, fault.DeadlineExceeded, part, "deadline exceeded").WithRan(failed.Ran)
+	case r.ending.reached.Err() != nil:
+		failed = fault.Wrap(failed, fault.DeadlineExceeded, part, "this entry stops").WithRan(failed.Ran)
 	}
 	if r.ran != fault.RanNo {
 		return failed.WithRan(r.ran)
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -51,6 +51,8 @@
 type Routed struct {
 	Server    *frontdoor.Server
 	Transport *engine.Transport
+	// EndAt prepares for the end of the process; see relay.Relay.EndAt.
+	EndAt func(time.Time)
 	// InFlight returns the number of callers' requests being served.
 	InFlight func() int
 	// LogLinesDropped returns the number of successful attempts that were not logged.
@@ -77,6 +79,7 @@
 	t := &Routed{
 		Server:    frontdoor.NewServer(o.Listener, o.NewHandler(requestRelay, node), o.Server),
 		Transport: transport,
+		EndAt:     requestRelay.EndAt,
 		InFlight:  requestRelay.InFlight,
 
 		LogLinesDropped: requestRelay.LogLinesDropped,
