--- a/root/process.go
+++ b/root/process.go
@@ -55,7 +55,9 @@
 	routed     *traffic.Routed
 	store      *storage.Store
 	writer     *storage.Writer
-	orders     *orders.Sender
+	// replicaID is that of the data folder; empty without a replica.
+	replicaID consensus.ReplicaID
+	orders    *orders.Sender
 	// applied is the newest view that the dispatcher or placer has applied.
 	applied atomic.Pointer[view.View]
 	// burnRecorder counts the role changes of each view. It is set before any listener
@@ -194,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.store = store
+	p.store, p.replicaID = store, id.Replica
 	node := p.tree.Supervisor("storage")
 	if torn := store.TornTail(); torn != nil {
 		node.Log().Info("truncated an incomplete write at the end of the log", "file", torn.File, "offset", torn.Offset)
--- a/root/stop.go
+++ b/root/stop.go
@@ -31,7 +31,7 @@
 		treeErr = p.tree.Serve(treeCtx)
 	}()
 	defer p.closeStore()
-	p.log.Info("serving", "vm", p.settings.VM, "entry", p.EntryURL(), "operator", p.OperatorURL())
+	p.log.Info("serving", "vm", p.settings.VM, "replica", string(p.replicaID), "entry", p.EntryURL(), "operator", p.OperatorURL())
 	select {
 	case err := <-p.halted:
 		cancelTree()
