--- a/root/storage/wal/wal.go
+++ b/root/storage/wal/wal.go
@@ -218,10 +218,17 @@
 	return l.removeOldest(n)
 }
 
+// removeOldest removes n segments. Each removal is durable before the next: a loss of power
+// may undo any of several removals, and a segment that returns without its successor would
+// leave a gap.
 func (l *Log) removeOldest(n int) error {
 	for range n {
 		name := l.segments[0].path(l.dir)
-		if err := l.fs.Remove(name); err != nil {
+		err := l.fs.Remove(name)
+		if err == nil {
+			err = l.fs.SyncDir(l.dir)
+		}
+		if err != nil {
 			return fault.Wrap(err, fault.Unavailable, part, "cannot remove %s", name)
 		}
 		l.segments = l.segments[1:]
