--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -151,7 +151,7 @@
 	// Only then is its commit index known to be current.
 	CommittedInTerm bool
 	// LeaseUntil is the local time until which a leader may act without contacting
-	// a quorum. It is zero without a lease.
+	// a quorum, which a read of the log does nevertheless. It is zero without a lease.
 	LeaseUntil time.Time
 	LastIndex  uint64
 	Commit     uint64
--- a/root/control/view/view.go
+++ b/root/control/view/view.go
@@ -25,7 +25,7 @@
 	VMs     []fleet.VM
 	// Segments are the prompt segments on which engines crash, or may crash.
 	Segments quarantine.List
-	// LeaseUntil is the local time at which the view lease expires. No new work may
+	// LeaseUntil is the time, by clock.Now, at which the view lease expires. No new work may
 	// start afterwards unless LeaseOptional is set.
 	LeaseUntil time.Time
 	// LeaseOptional lets new work start on the last view after its lease has expired.
@@ -39,7 +39,8 @@
 	Stopping bool
 }
 
-// Ready reports whether new work may start at time now.
+// Ready reports whether new work may start at time now, by clock.Now like all times that
+// are compared with a lease.
 func (v *View) Ready(now time.Time) bool {
 	return v != nil && !v.Stopping && v.Valid(now)
 }
--- a/root/traffic/placement/limits.go
+++ b/root/traffic/placement/limits.go
@@ -19,6 +19,8 @@
 	// limitMemory is how long the entry reports that a server names no limit any more, so
 	// that the leader tells the others.
 	limitMemory = 10 * time.Second
+	// limitChange is the part of a limit by which a new one must differ to be reported.
+	limitChange = 0.2
 	// demandTime is the time over which the demand for a server is averaged.
 	demandTime = time.Second
 )
@@ -89,7 +91,7 @@
 }
 
 // observeLimit applies what a response says of the server's limit; 0 for none. It reports
-// whether that differs from what was known. The response to a request that was placed
+// whether that differs noticeably from what was known. The response to a request that was placed
 // before the limit was learned may be older than the limit, and ends none.
 func (s *State) observeLimit(now time.Time, r *Run, perSecond float64) bool {
 	srv := r.server
@@ -108,7 +110,7 @@
 	}
 	before := l.perSecond
 	l.set(now, perSecond, now)
-	return before != perSecond
+	return math.Abs(perSecond-before) > limitChange*before
 }
 
 func (s *State) newLimit(now time.Time, id string, incarnation uint64) *serverLimit {
