--- a/root/peers/gate_test.go
+++ b/root/peers/gate_test.go
@@ -104,3 +104,25 @@
 	server.handshakes.leave()
 	expect[machine.NotLeader](c, atServer)
 }
+
+// TestStalledHandshakesDelayNoSession guards against sessions that wait for peers that lost
+// power while theirs were set up.
+func TestStalledHandshakesDelayNoSession(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	_, atServer := startMesh(t, "server", ln)
+	for range 2 * maxHandshakes {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	client, _ := startMesh(t, "client", other)
+	began := time.Now()
+	dial(t, client, "server", ln)
+	client.Send("server", machine.NotLeader{})
+	expect[machine.NotLeader](c, atServer)
+	c.Assert(time.Since(began) < helloTimeout/2, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+}
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -322,8 +322,7 @@
 	}
 	var s *session
 	err := supervise.Catch(part, func() (err error) {
-		a.mesh.handshakes.enter()
-		defer a.mesh.handshakes.leave()
+		defer a.mesh.handshakes.enterFor(maxHandshakeTurn)()
 		s, err = accept(conn, a.mesh.local)
 		return err
 	})
