--- a/root/build.go
+++ b/root/build.go
@@ -69,9 +69,8 @@
 			Persist: func(batch consensus.WriteBatch) {
 				p.writer.Submit(batch)
 			},
-			Publish:   p.publish,
-			SetShares: p.setShares,
-
+			Publish:         p.publish,
+			SetShares:       p.setShares,
 			SetServerShares: p.setServerShares,
 			Issue:           p.orders.Submit,
 			Halt:            p.halt,
--- a/root/control/loop/delay.go
+++ b/root/control/loop/delay.go
@@ -18,8 +18,8 @@
 )
 
 // delayLog logs steps of the control thread that begin late, or whose event has waited,
-// with what the thread did before. A thread that is late sends heartbeats late, and a replica that does loses its
-// leadership.
+// with what the thread did before. A leader whose thread is late sends its heartbeats late,
+// and loses its leadership in the end.
 type delayLog struct {
 	log logr.Logger
 	// wake is when the machine asked for a step.
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -283,20 +283,15 @@
 // failed.
 type Halt struct{ Err *fault.Error }
 
-func (Persist) effect()   {}
-func (Send) effect()      {}
-func (Publish) effect()   {}
-func (SetShares) effect() {}
-
-func (SetServerShares) effect() {}
-
-func (Answer) effect() {}
-func (Halt) effect()   {}
-
-func (IssueOrder) effect() {}
-func (History) effect()    {}
-
+func (Persist) effect()           {}
+func (Send) effect()              {}
+func (Publish) effect()           {}
+func (SetShares) effect()         {}
+func (SetServerShares) effect()   {}
+func (Answer) effect()            {}
+func (IssueOrder) effect()        {}
+func (EncodeSnapshot) effect()    {}
+func (History) effect()           {}
 func (LeadershipChanged) effect() {}
 func (RoutesRead) effect()        {}
-
-func (EncodeSnapshot) effect() {}
+func (Halt) effect()              {}
--- a/root/traffic/placement/limits.go
+++ b/root/traffic/placement/limits.go
@@ -91,8 +91,8 @@
 }
 
 // observeLimit applies what a response says of the server's limit; 0 for none. It reports
-// whether that differs noticeably from what was known. The response to a request that was placed
-// before the limit was learned may be older than the limit, and ends none.
+// whether that differs noticeably from what was known. The response to a request that was
+// placed before the limit was learned may be older than the limit, and ends none.
 func (s *State) observeLimit(now time.Time, r *Run, perSecond float64) bool {
 	srv := r.server
 	l := s.limits[srv.ID]
