--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -335,8 +335,10 @@
 		s.LeaseUntil = c.startTime.Add(until)
 	}
 	s.Match = map[ReplicaID]uint64{c.cfg.ID: c.log.durable}
+	s.Acked = map[ReplicaID]time.Time{c.cfg.ID: c.startTime.Add(c.now)}
 	for id, p := range c.leaderState.peers {
 		s.Match[id] = p.match
+		s.Acked[id] = c.startTime.Add(max(c.leaderState.electedAt, p.ackedAt))
 	}
 	return s
 }
--- a/root/control/consensus/members.go
+++ b/root/control/consensus/members.go
@@ -76,12 +76,12 @@
 }
 
 // ChangeMembers proposes a new member set. It may add or remove one voter and change
-// any number of learners. A new voter must be a learner that acknowledged the leader
-// within the last election timeout and lags at most maxPromotionLag entries behind
-// the commit index. Error kinds: NotLeader; NotReady before the leader has committed
-// an entry in its term or during a leadership transfer; Conflict while an earlier
-// change is uncommitted or if the new voter does not qualify; Invalid for an invalid
-// member set or a change of more than one voter.
+// any number of learners. A new voter must be a learner that CanPromote accepts. A voter
+// is removed only while a quorum of the others follows this leader, since the removal
+// takes effect before it is committed. Error kinds: NotLeader; NotReady before the leader
+// has committed an entry in its term or during a leadership transfer; Conflict while an
+// earlier change is uncommitted, if the new voter does not qualify or if too few voters
+// would remain; Invalid for an invalid member set or a change of more than one voter.
 func (c *Core) ChangeMembers(now time.Time, m Members) error {
 	c.advanceClock(now)
 	if c.role != leader {
@@ -112,20 +112,46 @@
 	if len(added)+len(removed) > 1 {
 		return fault.New(fault.Invalid, part, "membership change affects more than one voter")
 	}
-	if len(added) == 0 {
-		return nil
+	if len(removed) == 1 && !c.followedByQuorum(m.Voters) {
+		return fault.New(fault.Conflict, part, "cannot remove %s: too few of the other voters are reachable", removed[0])
 	}
-	id := added[0]
-	p := c.leaderState.peers[id]
-	if !old.isLearner(id) || p == nil {
-		return fault.New(fault.Conflict, part, "cannot promote %s: not a learner", id)
-	}
-	if p.match+maxPromotionLag < c.commit || !p.ackedSince(c.now-c.cfg.ElectionTimeout) {
-		return fault.New(fault.Conflict, part, "cannot promote learner %s: unreachable or lagging (match index %d, commit index %d)", id, p.match, c.commit)
+	if len(added) == 1 && !c.CanPromote(added[0]) {
+		return fault.New(fault.Conflict, part, "cannot promote %s: not a learner, unreachable or lagging", added[0])
 	}
 	return nil
 }
 
+// CanPromote reports whether this replica leads and the member is a learner that
+// acknowledged it within the last election timeout and lags at most maxPromotionLag
+// entries behind the commit index.
+func (c *Core) CanPromote(id ReplicaID) bool {
+	if !c.FollowedBy(id) || !c.members().isLearner(id) {
+		return false
+	}
+	return c.leaderState.peers[id].match+maxPromotionLag >= c.commit
+}
+
+// FollowedBy reports whether this replica leads and the member is this replica or
+// acknowledged it within the last election timeout.
+func (c *Core) FollowedBy(id ReplicaID) bool {
+	if c.role != leader {
+		return false
+	}
+	p := c.leaderState.peers[id]
+	return id == c.cfg.ID || p != nil && p.ackedSince(c.now-c.cfg.ElectionTimeout)
+}
+
+// followedByQuorum reports whether a quorum of the voters follows this leader.
+func (c *Core) followedByQuorum(voters []ReplicaID) bool {
+	followers := 0
+	for _, id := range voters {
+		if c.FollowedBy(id) {
+			followers++
+		}
+	}
+	return followers >= c.rules.quorum(len(voters))
+}
+
 // difference returns the elements of a that are not in b.
 func difference(a, b []ReplicaID) []ReplicaID {
 	var out []ReplicaID
--- a/root/control/consensus/types.go
+++ b/root/control/consensus/types.go
@@ -159,6 +159,9 @@
 	// Match is the highest index known to be durable on each member. It is set on
 	// leaders only.
 	Match map[ReplicaID]uint64
+	// Acked is when each member is last known to have followed this leader, or when this
+	// leader was elected if that is later. It is set on leaders only.
+	Acked map[ReplicaID]time.Time
 }
 
 // DurableState is the state read from disk at startup.
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -168,6 +168,8 @@
 	case machine.LeadershipChanged:
 		l.log.Info("leadership changed", "reason", e.Change.Reason.String(), "term", e.Change.Term,
 			"peer", string(e.Change.Peer), "silence_ms", e.Change.Silence.Milliseconds())
+	case machine.MembersChanged:
+		l.log.Info("members of the log changed", "voters", e.Members.Voters, "learners", e.Members.Learners, "index", e.Index)
 	case machine.RoutesRead:
 		l.log.Info("routes read", "for", e.Proposer, "version", e.Version, "index", e.Index, "term", e.Term,
 			"waited_ms", e.Waited.Milliseconds())
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -47,7 +47,10 @@
 	// open membership. One that stopped gracefully is removed at the next sweep. At
 	// least three voters stay.
 	ReplicaRemoveAfter time.Duration
-	Fleet              fleet.Timing
+	// ReplicaReplaceAfter is the silence after which a voter of an open membership gives
+	// its place to a replica that waits to become a voter.
+	ReplicaReplaceAfter time.Duration
+	Fleet               fleet.Timing
 }
 
 // DefaultTiming returns timing for VMs with a few milliseconds of network latency.
@@ -75,6 +78,9 @@
 		// Backend servers announce themselves once a second.
 		FleetDiscoveryTime: 2500 * time.Millisecond,
 		ReplicaRemoveAfter: 12 * time.Second,
+		// A new replica has to vote a few seconds after it started, because the next VM may
+		// be lost then.
+		ReplicaReplaceAfter: 1500 * time.Millisecond,
 		Fleet: fleet.Timing{
 			// Longer than ViewLease plus the announcement interval, because a server
 			// whose entry is partitioned announces itself at another entry only after
--- a/root/control/machine/membership.go
+++ b/root/control/machine/membership.go
@@ -10,7 +10,8 @@
 // as id. A replica that is new, or that returned under a new identity, is added as a
 // learner and promoted to voter once it has caught up; its old identity is removed
 // before the promotion. With two voters, the old identity stays a voter next to the
-// new one, also after more voters have joined.
+// new one, also after more voters have joined. In an open membership, a silent voter is
+// removed before the promotion as well.
 func (l *leader) reconcileMembership(vm string, id consensus.ReplicaID) {
 	if id == "" || !l.m.cfg.OpenMembership && !slices.Contains(l.m.cfg.Replicas, vm) {
 		return
@@ -19,15 +20,39 @@
 	if slices.Contains(st.Members.Voters, id) {
 		return
 	}
-	next, ok := nextMembers(st.Members, vm, id)
-	if !ok {
-		return
+	next := nextMembers(st.Members, vm, id)
+	if silent, ok := l.silentVoter(st); ok && len(next.Voters) > len(st.Members.Voters) {
+		if next, ok = l.withoutSilentVoter(st, silent, id); !ok {
+			return
+		}
 	}
 	// A refused change, for example of a learner that lags, is retried at the next
 	// Renew.
 	_ = l.r.core.ChangeMembers(l.m.now, next)
 }
 
+// silentVoter returns the voter that has not followed this leader for the longest time, if
+// any voter of an open membership does not follow it now.
+func (l *leader) silentVoter(st consensus.Status) (consensus.ReplicaID, bool) {
+	silent := slices.DeleteFunc(slices.Clone(st.Members.Voters), l.r.core.FollowedBy)
+	if len(silent) == 0 || !l.m.cfg.OpenMembership {
+		return "", false
+	}
+	return slices.MinFunc(silent, func(a, b consensus.ReplicaID) int { return st.Acked[a].Compare(st.Acked[b]) }), true
+}
+
+// withoutSilentVoter returns the members without a voter that has been silent for
+// ReplicaReplaceAfter, if the learner can take its place. A learner that were promoted next
+// to it would make the quorum larger by a voter that may never return, and a few such
+// promotions would leave no quorum.
+func (l *leader) withoutSilentVoter(st consensus.Status, silent, learner consensus.ReplicaID) (consensus.Members, bool) {
+	if l.m.now.Sub(st.Acked[silent]) < l.m.cfg.Timing.ReplicaReplaceAfter || !l.r.core.CanPromote(learner) {
+		return consensus.Members{}, false
+	}
+	voters := slices.DeleteFunc(slices.Clone(st.Members.Voters), func(id consensus.ReplicaID) bool { return id == silent })
+	return consensus.Members{Voters: voters, Learners: st.Members.Learners}, true
+}
+
 // minVoters is the smallest number of voters that the removal of unresponsive
 // replicas may leave: three voters tolerate one failure.
 const minVoters = 3
@@ -64,9 +89,8 @@
 }
 
 // nextMembers returns the next single-step change towards a membership in which vm
-// votes as id, which it does not yet. The second result is always true, because there
-// is always such a change.
-func nextMembers(cur consensus.Members, vm string, id consensus.ReplicaID) (consensus.Members, bool) {
+// votes as id, which it does not yet.
+func nextMembers(cur consensus.Members, vm string, id consensus.ReplicaID) consensus.Members {
 	next := consensus.Members{
 		Voters:   slices.Clone(cur.Voters),
 		Learners: slices.Clone(cur.Learners),
@@ -75,20 +99,20 @@
 	stale := slices.IndexFunc(next.Learners, otherIdentity)
 	if stale >= 0 {
 		next.Learners = slices.Delete(next.Learners, stale, stale+1)
-		return next, true
+		return next
 	}
 	if !slices.Contains(next.Learners, id) {
 		next.Learners = append(next.Learners, id)
-		return next, true
+		return next
 	}
 	old := slices.IndexFunc(next.Voters, otherIdentity)
 	// Of two voters none is removed, since a single voter would remain. The new
 	// identity is promoted next to the old one instead.
 	if old >= 0 && len(next.Voters) > 2 {
 		next.Voters = slices.Delete(next.Voters, old, old+1)
-		return next, true
+		return next
 	}
 	next.Learners = slices.DeleteFunc(next.Learners, func(n consensus.ReplicaID) bool { return n == id })
 	next.Voters = append(next.Voters, id)
-	return next, true
+	return next
 }
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -269,6 +269,13 @@
 // LeadershipChanged reports a change of leadership at this replica, for the log.
 type LeadershipChanged struct{ Change consensus.Change }
 
+// MembersChanged reports a committed change of the members of the log, for the log of the
+// process.
+type MembersChanged struct {
+	Index   uint64
+	Members consensus.Members
+}
+
 // RoutesRead reports how this leader answered a read of the routes, for the log.
 type RoutesRead struct {
 	// Proposer is the VM that asked.
@@ -293,5 +300,6 @@
 func (EncodeSnapshot) effect()    {}
 func (History) effect()           {}
 func (LeadershipChanged) effect() {}
+func (MembersChanged) effect()    {}
 func (RoutesRead) effect()        {}
 func (Halt) effect()              {}
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -129,6 +129,9 @@
 
 func (r *replica) apply(e consensus.Entry) bool {
 	r.appliedIndex = e.Index
+	if e.Kind == consensus.EntryMembers {
+		r.m.emit(MembersChanged{Index: e.Index, Members: e.Members})
+	}
 	if e.Kind != consensus.EntryCommand {
 		return true
 	}
