--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -6,7 +6,6 @@
 
 	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
-	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -39,11 +38,11 @@
 }
 
 // Announce handles the announcement of a backend server. The error is of kind
-// fault.Invalid for an invalid id or a service that the routing document does not
-// define, and fault.Unavailable if the control thread did not accept the announcement.
+// fault.Invalid for texts that fleet.Server.Validate rejects or a service that the routing
+// document does not define, and fault.Unavailable if the control thread did not accept the announcement.
 func (r *Registrar) Announce(ctx context.Context, s fleet.Server) error {
-	if !replicated.HasValidID(s) {
-		return fault.New(fault.Invalid, part, "backend server id must have 1 to %d bytes", authority.MaxIDBytes)
+	if err := s.Validate(); err != nil {
+		return err
 	}
 	for _, service := range s.Targets {
 		if !r.knowsService(service) {
@@ -65,8 +64,12 @@
 }
 
 // Deregister handles the deregistration of a stopping backend server. Incarnation 0
-// means the known one. The error is of kind fault.Unavailable.
+// means the known one. The error is of kind fault.Invalid for an invalid id and
+// fault.Unavailable if the control thread did not accept the deregistration.
 func (r *Registrar) Deregister(ctx context.Context, server string, incarnation uint64) error {
+	if err := fleet.ValidateID(server); err != nil {
+		return err
+	}
 	return r.post(ctx, machine.Deregistered{Server: server, Incarnation: incarnation})
 }
 
--- a/root/gateway/registrar_test.go
+++ b/root/gateway/registrar_test.go
@@ -66,6 +66,27 @@
 	c.Assert(fault.Is(r.Announce(ctx, fleet.Server{ID: "i-1", Targets: []string{"llm"}}), fault.Unavailable), qt.IsTrue)
 }
 
+// TestTextThatCannotBeEncodedIsRejected guards against a server id or another text that
+// keeps all views and Renews that contain it from being encoded.
+func TestTextThatCannotBeEncodedIsRejected(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	l := &fakeLoop{}
+	r := gateway.NewRegistrar(&view.Store{}, l)
+	for _, text := range []string{"i-\xff\xfe", "i-1\n", strings.Repeat("x", 257)} {
+		for name, s := range map[string]fleet.Server{
+			"id":             {ID: text},
+			"failure domain": {ID: "i-1", FailureDomain: text},
+			"address":        {ID: "i-1", Address: text},
+			"target":         {ID: "i-1", Targets: []string{text}},
+		} {
+			c.Check(fault.Is(r.Announce(ctx, s), fault.Invalid), qt.IsTrue, qt.Commentf("%s %q", name, text))
+		}
+		c.Check(fault.Is(r.Deregister(ctx, text, 1), fault.Invalid), qt.IsTrue, qt.Commentf("deregistered id %q", text))
+	}
+	c.Assert(l.events, qt.HasLen, 0)
+}
+
 // TestAnnounceWithoutALeaseRejectsNoService guards against a replica with old routes that
 // turns away the servers of a new service.
 func TestAnnounceWithoutALeaseRejectsNoService(t *testing.T) {
--- a/root/operator/operator_test.go
+++ b/root/operator/operator_test.go
@@ -161,3 +161,22 @@
 		c.Check(text, qt.Contains, want)
 	}
 }
+
+// TestTableChangeWithUnreadableAuthorIsRefused guards against an id or author that no
+// message to the leader can carry.
+func TestTableChangeWithUnreadableAuthorIsRefused(t *testing.T) {
+	c := qt.New(t)
+	srv := startServer(c, func(*operator.Options) {})
+	for _, header := range []string{operator.ChangeIDHeader, operator.AuthorHeader} {
+		req, err := http.NewRequest("PUT", srv.url+"/v1/table", strings.NewReader("class,weight,place,concurrency,rate_per_second,queue,tokens,deadline_ms,targets,idempotent\na,1,0,1,1,1,0,1000,m,yes\n"))
+		c.Assert(err, qt.IsNil)
+		req.Header.Set(operator.VersionHeader, "1")
+		req.Header.Set(operator.ChangeIDHeader, "c-1")
+		req.Header.Set(header, "c\xff")
+		resp, err := http.DefaultClient.Do(req)
+		c.Assert(err, qt.IsNil)
+		resp.Body.Close()
+		c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest, qt.Commentf("%s", header))
+	}
+	c.Check(srv.control.commands, qt.HasLen, 0)
+}
--- a/root/operator/table.go
+++ b/root/operator/table.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
@@ -64,6 +65,10 @@
 		return
 	}
 	change := table.Change{ID: id, Base: base, Classes: classes, Author: r.Header.Get(AuthorHeader)}
+	if !utf8.ValidString(change.ID) || !utf8.ValidString(change.Author) {
+		s.writeError(w, fault.New(fault.Invalid, part, "%s or %s is not valid UTF-8", ChangeIDHeader, AuthorHeader))
+		return
+	}
 	if res, ok := s.submit(w, r, replicated.ChangeTable{Change: change}); ok {
 		s.Log.Info("changed the class table", "version", res.Version, "author", change.Author)
 		writeJSON(w, TableChangeResult{Version: res.Version, InForce: true})
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -97,7 +97,7 @@
 	if !ok {
 		return fleet.Server{}, fault.New(fault.Invalid, part, "state %q must be active or leaving", a.State)
 	}
-	return fleet.Server{
+	server := fleet.Server{
 		ID:            a.ID,
 		Incarnation:   a.Incarnation,
 		Address:       a.Address,
@@ -111,7 +111,8 @@
 		Load: fleet.Load{
 			Running: a.Load.Running, Waiting: a.Load.Waiting, CacheUsed: a.Load.CacheUsed, AnnouncedAt: time.Now(),
 		},
-	}, nil
+	}
+	return server, server.Validate()
 }
 
 // roles maps the names in announcements; an omitted role is mixed.
@@ -125,8 +126,6 @@
 func (a Announcement) validate() error {
 	u, err := url.Parse(a.Address)
 	switch {
-	case a.ID == "" || len(a.ID) > 128:
-		return fault.New(fault.Invalid, part, "id must be 1 to 128 bytes long")
 	case a.Incarnation == 0:
 		return fault.New(fault.Invalid, part, "incarnation must be greater than 0 and increase with each start")
 	case err != nil || u.Scheme != "http" || u.Host == "":
--- a/root/traffic/frontdoor/frontdoor_test.go
+++ b/root/traffic/frontdoor/frontdoor_test.go
@@ -210,3 +210,25 @@
 	c.Check(text, qt.Contains, `"kind":"not_ready"`)
 	c.Check(server.announcements, qt.HasLen, 1)
 }
+
+// TestTextThatCannotBeEncodedIsRefused guards against texts that no message between
+// processes can carry: callers waited for a timeout instead of an error.
+func TestTextThatCannotBeEncodedIsRefused(t *testing.T) {
+	c := qt.New(t)
+	server := newTestServer(t, echo)
+	for _, field := range []string{`"id":"e\n"`, `"failure_domain":"` + strings.Repeat("x", 300) + `"`, `"address":"http://` + strings.Repeat("x", 300) + `"`, `"models":["` + strings.Repeat("x", 257) + `"]`} {
+		body := `{"id":"e","incarnation":1,"address":"http://127.0.0.1:1","kind":"engine","slots":1,"models":["m"],` + field + `}`
+		resp, _ := server.send(c, "POST", "/v1/backend-servers", body)
+		c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest, qt.Commentf("%.40s", field))
+	}
+	c.Check(server.announcements, qt.HasLen, 0)
+	for _, header := range []string{frontdoor.CallerHeader, frontdoor.IdempotencyHeader} {
+		req, err := http.NewRequest("POST", server.URL+"/v1/completions", strings.NewReader(`{"model":"assistant","prompt":"p"}`))
+		c.Assert(err, qt.IsNil)
+		req.Header.Set(header, "k\xff")
+		resp, err := http.DefaultClient.Do(req)
+		c.Assert(err, qt.IsNil)
+		resp.Body.Close()
+		c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest, qt.Commentf("%s", header))
+	}
+}
--- a/root/traffic/frontdoor/requests.go
+++ b/root/traffic/frontdoor/requests.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
 
@@ -129,6 +130,9 @@
 	if len(req.Dispatch.Caller) > ledger.MaxCallerBytes || len(req.Key) > ledger.MaxKeyBytes {
 		return table.Class{}, fault.New(fault.Invalid, part, "caller or idempotency key is too long")
 	}
+	if !utf8.ValidString(req.Dispatch.Caller) || !utf8.ValidString(req.Key) {
+		return table.Class{}, fault.New(fault.Invalid, part, "caller or idempotency key is not valid UTF-8")
+	}
 	req.Idempotent = class.Idempotent
 	req.Call.RequestID = id
 	req.Call.Method = r.Method
