--- a/root/control/machine/fleet_record.go
+++ b/root/control/machine/fleet_record.go
@@ -13,11 +13,13 @@
 // proposed again. It is longer than a commit takes.
 const recordRetryInterval = 2 * time.Second
 
-// maxServersPerRecord bounds the servers in one record, so that it usually fits into a
-// consensus batch (1 MiB): a server with one target takes about 100 bytes. The size in
-// bytes is not checked. The core would reject a larger record, which would then be
-// proposed again every recordRetryInterval.
-const maxServersPerRecord = 1000
+// maxRecordBytes bounds the texts in one record, so that it fits into a consensus batch
+// (1 MiB): the core would reject a larger one, which would then be proposed again every
+// recordRetryInterval.
+const maxRecordBytes = 256 << 10
+
+// recordedBytes is a bound on the size of a server in a record without its texts.
+const recordedBytes = 100
 
 // recordFleet keeps the set of live backend servers in the log, for a leader that
 // starts without a view after all processes were down. Servers announce themselves
@@ -42,13 +44,14 @@
 // proposed again and again.
 func serversToRecord(live []fleet.Server, recorded map[string]fleet.Server) []fleet.Server {
 	var out []fleet.Server
-	count := len(recorded)
+	count, size := len(recorded), 0
 	for _, s := range live {
 		old, known := recorded[s.ID]
 		if s.SameRegistration(old) || !replicated.HasValidID(s) || !known && count == authority.MaxServers {
 			continue
 		}
-		if len(out) == maxServersPerRecord {
+		size += textBytes(s) + recordedBytes
+		if size > maxRecordBytes && len(out) > 0 {
 			break
 		}
 		if !known {
@@ -59,6 +62,15 @@
 	return out
 }
 
+// textBytes returns the size of the texts of a server.
+func textBytes(s fleet.Server) int {
+	n := len(s.ID) + len(s.Address) + len(s.FailureDomain)
+	for _, target := range s.Targets {
+		n += len(target)
+	}
+	return n
+}
+
 // serversToRemove returns the ids of recorded servers that are not live: those that
 // are unknown, leaving or suspected.
 func serversToRemove(live []fleet.Server, recorded map[string]fleet.Server) []string {
--- a/root/control/machine/fleet_record_test.go
+++ b/root/control/machine/fleet_record_test.go
@@ -113,3 +113,27 @@
 	sim.runFor(time.Second)
 	c.Assert(sim.allShow(fleet.Active), qt.IsTrue)
 }
+
+// TestLongTextsAreRecorded guards against servers with long texts, whose record was larger
+// than the log accepts, so that no server was recorded any more.
+func TestLongTextsAreRecorded(t *testing.T) {
+	c := qt.New(t)
+	const servers = 100
+	sim := newSimulation(1, machine.RuleNone)
+	sim.waitForLeader()
+	for i := range servers {
+		s := fleet.Server{ID: fmt.Sprintf("engine-%d", i), Incarnation: 1, Sequence: 1, Address: fmt.Sprintf("http://engine-%d", i), Slots: 8}
+		for j := range 64 {
+			s.Targets = append(s.Targets, strings.Repeat(string(rune('a'+j%26)), fleet.MaxTargetBytes))
+		}
+		c.Assert(s.Validate(), qt.IsNil)
+		sim.nodes[replicas].step(machine.Announced{Server: s})
+	}
+	sim.runFor(4 * time.Second)
+	sim.powerFailure(noNode)
+	sim.waitForLeader()
+	sim.runFor(2 * time.Second)
+	for _, n := range sim.nodes {
+		c.Assert(n.view.Servers, qt.HasLen, servers)
+	}
+}
