--- a/root/control/fleet/fleet.go
+++ b/root/control/fleet/fleet.go
@@ -92,6 +92,24 @@
 // announcement of its incarnation.
 const LastSequence = math.MaxUint64
 
+// Leave returns the announcement by which a server of this incarnation leaves.
+func Leave(id string, incarnation uint64) Server {
+	return Server{ID: id, Incarnation: incarnation, State: Leaving, Sequence: LastSequence}
+}
+
+// Departing reports whether the server has said that it is draining or leaving.
+func (s Server) Departing() bool { return s.State == Draining || s.State == Leaving }
+
+// Record returns what the log keeps of the server: no load and, once it has left, only what
+// tells its late announcements from those of a later start.
+func (s Server) Record() Server {
+	s.Load = Load{}
+	if s.State != Leaving {
+		return s
+	}
+	return Server{ID: s.ID, Incarnation: s.Incarnation, State: Leaving, Sequence: s.Sequence}
+}
+
 // Supersedes reports whether the announcement s may replace an earlier one of
 // the same server.
 func (s Server) Supersedes(old Server) bool {
--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// SeedDepartures adds servers that are known to be draining or to have left to the members
+// that Seed has added.
+func (t *Tracker) SeedDepartures(servers []Server, now time.Time) {
+	for _, s := range servers {
+		tracked := t.servers[s.ID]
+		if tracked != nil && !s.Supersedes(tracked.server) {
+			continue
+		}
+		if tracked != nil {
+			s = s.withDetailsFrom(tracked.server)
+		}
+		t.Seed([]Server{s}, nil, now)
+	}
+}
+
 // ObserveServer records an announcement received at the given time. It reports
 // whether the server is new or a field that SameRegistration compares changed. It
 // ignores announcements of an earlier incarnation, outdated ones of the current
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -80,6 +80,8 @@
 		l.partialUntil = m.now.Add(m.cfg.Timing.FleetDiscoveryTime)
 		l.views.SetPartial(true)
 	}
+	// The last leader may have committed them without having told this process.
+	l.fleet.SeedDepartures(recordedDepartures(r.state), m.now)
 	l.orders = newOrders(l)
 	l.shares = &shares{l: l}
 	l.serverLimits = &serverLimits{l: l, known: map[string]serverLimit{}}
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -26,7 +26,7 @@
 }
 
 // onPropose handles a command proposed by a process. Commands that only the leader
-// issues are rejected, except RecordFleet, which is committed.
+// issues are rejected.
 func (l *leader) onPropose(from string, msg Propose) {
 	p := proposer{vm: from, id: msg.ID}
 	if l.isPending(p) {
@@ -42,6 +42,8 @@
 		l.propose(cmd, p)
 	case replicated.ReadRoutes:
 		l.readRoutes(p)
+	case replicated.RecordFleet:
+		l.onDepartures(p, cmd.Servers)
 	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.QuarantineSegments, replicated.Tick:
 		l.answer(p, replicated.Result{Err: fault.New(fault.Invalid, part, "only the leader may propose this command")})
 	default:
--- a/root/control/machine/simulation_test.go
+++ b/root/control/machine/simulation_test.go
@@ -34,6 +34,8 @@
 	violation       string
 	// lossless keeps the network from losing and duplicating messages.
 	lossless bool
+	// dropGrants makes the network lose all Grants.
+	dropGrants bool
 	// onAnswer is called for every answer if it is set.
 	onAnswer func(*node, machine.Answer)
 	// onSend is called for every message if it is set.
@@ -114,6 +116,9 @@
 	if sim.node(from).isolated || sim.node(to).isolated || sim.blocked[[2]string{from, to}] || !sim.lossless && sim.rng.IntN(50) == 0 {
 		return
 	}
+	if _, isGrant := msg.(machine.Grant); isGrant && sim.dropGrants {
+		return
+	}
 	copies := 1
 	if !sim.lossless && sim.rng.IntN(50) == 0 {
 		copies = 2
--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -7,7 +7,7 @@
 	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
-	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -19,22 +19,16 @@
 // the time after which a client of the control plane tries another replica.
 const submitTimeout = 900 * time.Millisecond
 
-// Loop is the interface of the control thread that the registrar uses.
-type Loop interface {
-	Post(ctx context.Context, ev machine.Event) error
-	Submit(ctx context.Context, cmd replicated.Command) (replicated.Result, error)
-}
-
 // Registrar handles the control plane requests of backend servers and operators.
 // Decoding them is up to the caller.
 type Registrar struct {
 	views *view.Store
-	loop  Loop
+	loop  loop.Control
 }
 
 // NewRegistrar returns a registrar that passes requests on to the control thread.
-func NewRegistrar(views *view.Store, loop Loop) *Registrar {
-	return &Registrar{views: views, loop: loop}
+func NewRegistrar(views *view.Store, control loop.Control) *Registrar {
+	return &Registrar{views: views, loop: control}
 }
 
 // Announce handles the announcement of a backend server. The error is of kind
@@ -49,7 +43,7 @@
 			return fault.New(fault.Invalid, part, "unknown service %q", service)
 		}
 	}
-	return r.post(ctx, machine.Announced{Server: s})
+	return loop.Announce(ctx, r.loop, s)
 }
 
 // knowsService reports whether the routing document defines a service. Before the
@@ -64,20 +58,13 @@
 }
 
 // Deregister handles the deregistration of a stopping backend server. Incarnation 0
-// means the known one. The error is of kind fault.Invalid for an invalid id and
-// fault.Unavailable if the control thread did not accept the deregistration.
+// means the known one. The error is of kind fault.Invalid for an invalid id. Other errors
+// are those of loop.Deregister.
 func (r *Registrar) Deregister(ctx context.Context, server string, incarnation uint64) error {
 	if err := fleet.ValidateID(server); err != nil {
 		return err
 	}
-	return r.post(ctx, machine.Deregistered{Server: server, Incarnation: incarnation})
-}
-
-func (r *Registrar) post(ctx context.Context, ev machine.Event) error {
-	if err := r.loop.Post(ctx, ev); err != nil {
-		return fault.Wrap(err, fault.Unavailable, part, "the control thread did not accept the event")
-	}
-	return nil
+	return loop.Deregister(ctx, r.loop, server, incarnation)
 }
 
 // ReplaceRoutes commits a routing document and returns the version of the current
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -76,7 +76,10 @@
 		h.writeError(w, id, "", err)
 		return
 	}
-	h.Announce(r.Context(), server)
+	if err := h.Announce(r.Context(), server); err != nil {
+		h.writeError(w, id, "", err)
+		return
+	}
 	writeJSON(w, announcementResponse{RenewAfterMS: renewInterval.Milliseconds()})
 }
 
--- a/root/traffic/frontdoor/frontdoor.go
+++ b/root/traffic/frontdoor/frontdoor.go
@@ -45,8 +45,9 @@
 type Options struct {
 	Views     *view.Store
 	Forwarder *forward.Forwarder
-	// Announce passes an announcement to the control thread.
-	Announce func(ctx context.Context, s fleet.Server)
+	// Announce passes an announcement to the control thread. For a server that is leaving,
+	// it returns once that is committed.
+	Announce func(ctx context.Context, s fleet.Server) error
 	Limits   Limits
 	// AddressLifetime is how long callers may cache a list of addresses.
 	AddressLifetime time.Duration
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -9,7 +9,6 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
-	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
@@ -72,13 +71,9 @@
 		NewID:       o.NewID,
 	})
 	handler := frontdoor.New(frontdoor.Options{
-		Views:     o.Views,
-		Forwarder: forwarder,
-		Announce: func(ctx context.Context, s fleet.Server) {
-			// If the loop's inbox is full, Post drops announcements of active servers, which
-			// the servers repeat.
-			_ = o.Loop.Post(ctx, machine.Announced{Server: s})
-		},
+		Views:           o.Views,
+		Forwarder:       forwarder,
+		Announce:        func(ctx context.Context, s fleet.Server) error { return loop.Announce(ctx, o.Loop, s) },
 		Limits:          o.Limits,
 		AddressLifetime: o.AddressLifetime,
 		NewID:           o.NewID,
