--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -249,6 +249,18 @@
 	return out
 }
 
+// Departed returns the sorted ids of the servers that left and that Servers omits.
+func (t *Tracker) Departed() []string {
+	var out []string
+	for id, tracked := range t.servers {
+		if tracked.server.Address == "" && tracked.server.State == Leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Servers returns the backend servers, sorted by id. Load.Running is at least the
 // sum of the VMs' own counts. A server whose leave arrived before any announcement
 // is omitted; it is tracked only to ignore its announcements that arrive later.
--- a/root/control/view/tracker.go
+++ b/root/control/view/tracker.go
@@ -44,7 +44,10 @@
 	updates map[Versions]*Update
 	// partial is set while members may be missing from the view.
 	partial bool
-	removed []removal
+	// departed are the ids of servers that left and that the view does not list, while it
+	// is partial.
+	departed []string
+	removed  []removal
 	// compactedSeq is the highest sequence number whose receivers get a full update:
 	// removals up to it may no longer be recorded, or the view was partial until then.
 	compactedSeq uint64
@@ -98,6 +101,7 @@
 		next.Seq++
 		c.compactedSeq = c.current.Seq
 		c.current = &next
+		c.departed = nil
 	}
 	if c.partial != partial {
 		c.updates = nil
@@ -105,6 +109,22 @@
 	c.partial = partial
 }
 
+// SetDeparted sets the sorted ids of servers that left and that the view does not list, and
+// reports whether the view changed. A receiver of a partial view keeps the servers that it
+// does not list, and has to be told which of them left. Without a partial view nothing
+// changes.
+func (c *ChangeTracker) SetDeparted(ids []string) bool {
+	if !c.partial || slices.Equal(ids, c.departed) {
+		return false
+	}
+	next := *c.current
+	next.Seq++
+	c.departed = ids
+	c.current = &next
+	c.updates = nil
+	return true
+}
+
 // Set replaces the contents of the view and reports whether anything changed. The
 // members must be sorted by id. Set takes over both slices and may change their
 // elements, so that the caller must not use them afterwards.
@@ -256,10 +276,11 @@
 	if have.Seq == 0 || have.Seq <= c.compactedSeq || have.Seq > c.current.Seq {
 		u := FullUpdate(c.current)
 		u.Partial = c.partial
+		u.RemovedServers = c.departed
 		c.addRoutes(u, have.Routes)
 		return u
 	}
-	u := &Update{Term: c.current.Term, Base: have.Seq, Seq: c.current.Seq}
+	u := &Update{Term: c.current.Term, Base: have.Seq, Seq: c.current.Seq, RemovedServers: slices.Clone(c.departed)}
 	c.addRoutes(u, have.Routes)
 	if c.tableSeq > have.Seq {
 		t := c.current.Table
--- a/root/control/view/update.go
+++ b/root/control/view/update.go
@@ -24,7 +24,8 @@
 	// Segments is nil if the segments have not changed since Base.
 	Segments *quarantine.List
 	// Partial is set in a full update whose sender may not know all members yet. The
-	// receiver then keeps the servers and VMs that the update does not list.
+	// receiver then keeps the servers and VMs that the update does not list, except the
+	// RemovedServers.
 	Partial bool
 	// Servers and VMs are those added or changed since Base, RemovedServers and
 	// RemovedVMs the ids of those removed.
@@ -139,7 +140,7 @@
 		next.VMs = u.VMs
 		return
 	}
-	next.Servers = merge(cur.Servers, u.Servers, nil, serverID)
+	next.Servers = merge(cur.Servers, u.Servers, u.RemovedServers, serverID)
 	next.VMs = merge(cur.VMs, u.VMs, nil, vmID)
 }
 
--- a/root/control/view/view_test.go
+++ b/root/control/view/view_test.go
@@ -161,3 +161,25 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(next.Routes.Version, qt.Equals, uint64(6))
 }
+
+// TestPartialViewDropsDepartedServers guards against entries that keep a server which left,
+// because a leader that started without a view does not list it.
+func TestPartialViewDropsDepartedServers(t *testing.T) {
+	c := qt.New(t)
+	tracker := view.NewChangeTracker(9)
+	tracker.SetPartial(true)
+	tracker.Set(table.Table{}, nil, servers("b"), nil)
+	c.Assert(tracker.SetDeparted([]string{"a"}), qt.IsTrue)
+	c.Assert(tracker.SetDeparted([]string{"a"}), qt.IsFalse)
+	receiver := &view.View{Term: 8, Seq: 40, Servers: servers("a", "b", "c", "d")}
+	next, ok := tracker.Since(view.Versions{}).Apply(receiver)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Servers, qt.DeepEquals, servers("b", "c", "d"))
+	c.Assert(tracker.SetDeparted([]string{"a", "c"}), qt.IsTrue)
+	next, ok = tracker.Since(view.Versions{Seq: next.Seq}).Apply(next)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Servers, qt.DeepEquals, servers("b", "d"))
+	tracker.SetPartial(false)
+	c.Assert(tracker.SetDeparted([]string{"a", "b", "c"}), qt.IsFalse)
+	c.Assert(tracker.Since(view.Versions{}).RemovedServers, qt.HasLen, 0)
+}
