--- a/root/control/fleet/tracker.go
+++ b/root/control/fleet/tracker.go
@@ -232,18 +232,14 @@
 	return tracked.server, true
 }
 
-// LiveServers returns the backend servers that are active or draining, sorted by
-// id, without their loads. It includes seeded ones that haven't announced
-// themselves yet.
-func (t *Tracker) LiveServers() []Server {
+// Records returns the records of all servers that are not suspected, sorted by id. They
+// include seeded servers that haven't announced themselves yet, and those that left.
+func (t *Tracker) Records() []Server {
 	out := make([]Server, 0, len(t.servers))
 	for _, tracked := range t.servers {
-		s := tracked.server
-		if s.State == Leaving || s.State == Suspected {
-			continue
+		if tracked.server.State != Suspected {
+			out = append(out, tracked.server.Record())
 		}
-		s.Load = Load{}
-		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/root/control/machine/fleet_record.go
+++ b/root/control/machine/fleet_record.go
@@ -21,17 +21,18 @@
 // recordedBytes is a bound on the size of a server in a record without its texts.
 const recordedBytes = 100
 
-// recordFleet keeps the set of live backend servers in the log, for a leader that
-// starts without a view after all processes were down. Servers announce themselves
-// about once a second; without the record, the first few to do so would receive all
-// the work.
+// recordFleet keeps the backend servers in the log, for a leader that starts without a view
+// after all processes were down. Servers announce themselves about once a second; without
+// the record, the first few to do so would receive all the work. Servers that left stay in
+// the record for as long as the leader remembers them, so that a late announcement is not
+// mistaken for that of a new server.
 func (l *leader) recordFleet() {
 	if l.m.now.Before(l.nextFleetRecord) {
 		return
 	}
 	recorded := l.r.state.Fleet()
-	live := l.fleet.LiveServers()
-	cmd := replicated.RecordFleet{Servers: serversToRecord(live, recorded), Removed: serversToRemove(live, recorded)}
+	known := l.fleet.Records()
+	cmd := replicated.RecordFleet{Servers: serversToRecord(known, recorded), Removed: serversToRemove(known, recorded)}
 	if len(cmd.Servers) == 0 && len(cmd.Removed) == 0 {
 		return
 	}
@@ -39,13 +40,13 @@
 	l.propose(cmd, proposer{})
 }
 
-// serversToRecord returns the new and changed live servers that can be recorded.
+// serversToRecord returns the new and changed servers that can be recorded.
 // Servers that the replicated state would reject are skipped, since they would be
 // proposed again and again.
-func serversToRecord(live []fleet.Server, recorded map[string]fleet.Server) []fleet.Server {
+func serversToRecord(current []fleet.Server, recorded map[string]fleet.Server) []fleet.Server {
 	var out []fleet.Server
 	count, size := len(recorded), 0
-	for _, s := range live {
+	for _, s := range current {
 		old, known := recorded[s.ID]
 		if s.SameRegistration(old) || !replicated.HasValidID(s) || !known && count == authority.MaxServers {
 			continue
@@ -71,14 +72,13 @@
 	return n
 }
 
-// serversToRemove returns the ids of recorded servers that are not live: those that
-// are unknown, leaving or suspected.
-func serversToRemove(live []fleet.Server, recorded map[string]fleet.Server) []string {
-	isLive := make(map[string]bool, len(live))
-	for _, s := range live {
-		isLive[s.ID] = true
+// serversToRemove returns the ids of recorded servers that are unknown or suspected now.
+func serversToRemove(current []fleet.Server, recorded map[string]fleet.Server) []string {
+	keep := make(map[string]bool, len(current))
+	for _, s := range current {
+		keep[s.ID] = true
 	}
-	return slices.DeleteFunc(sortedKeys(recorded), func(id string) bool { return isLive[id] })
+	return slices.DeleteFunc(sortedKeys(recorded), func(id string) bool { return keep[id] })
 }
 
 // recordedServers returns the servers recorded in the log, sorted by id.
