--- a/root/traffic/engine/body.go
+++ b/root/traffic/engine/body.go
@@ -13,22 +13,25 @@
 const (
 	// maxResponseBytes bounds one body.
 	maxResponseBytes = 8 << 20
-	// maxBodiesBytes bounds the bodies that are being read at the same time, so that
-	// servers that send without end can't use up the memory of the process.
+	// maxBodiesBytes bounds the bodies and events that are being read at the same time, so
+	// that servers that send without end can't use up the memory of the process.
 	maxBodiesBytes = 32 << 20
-	// smallBodyBytes of each body don't count, so that ordinary responses are read while
-	// large ones use up the limit.
+	// smallBodyBytes of each body or event don't count, so that ordinary responses are read
+	// while large ones use up the limit.
 	smallBodyBytes = 64 << 10
 )
 
 var errBodiesTooLarge = errors.New("the response bodies being read take too much memory")
 
-// bodyMemory counts the bytes of the bodies that are being read.
-type bodyMemory struct{ used atomic.Int64 }
+// readMemory counts the bytes of what is being read from servers, up to limit.
+type readMemory struct {
+	limit int64
+	used  atomic.Int64
+}
 
 // reserve adds n bytes unless that exceeds the limit.
-func (m *bodyMemory) reserve(n int64) bool {
-	if m.used.Add(n) <= maxBodiesBytes {
+func (m *readMemory) reserve(n int64) bool {
+	if m.used.Add(n) <= m.limit {
 		return true
 	}
 	m.used.Add(-n)
--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -65,6 +65,12 @@
 const (
 	// maxHeadBytes bounds the head of one response.
 	maxHeadBytes = 64 << 10
+	// maxHeadsBytes bounds the memory of the large heads of all responses. smallHeadBytes of
+	// each head don't count, and each further byte counts headMemoryFactor times, since a
+	// head of many short fields takes that much memory once it is parsed.
+	maxHeadsBytes    = 32 << 20
+	smallHeadBytes   = 8 << 10
+	headMemoryFactor = 16
 	// maxInterimResponses bounds the interim (1xx) responses.
 	maxInterimResponses = 16
 	// maxLateResponses bounds the late responses to earlier requests.
@@ -75,6 +81,7 @@
 // server's bytes, which belong to no caller.
 var (
 	errHeadTooLarge     = errors.New("response head is too large")
+	errHeadsTooLarge    = errors.New("the response heads being read take too much memory")
 	errHeadMalformed    = errors.New("response head is malformed")
 	errTrailerMalformed = errors.New("trailer of the response is malformed")
 )
@@ -84,6 +91,9 @@
 	r       io.Reader
 	bounded bool
 	left    int
+	// heads counts the memory of large heads, of which reserved is that of this exchange.
+	heads    *readMemory
+	reserved int64
 	// err is the first error of Read.
 	err error
 }
@@ -106,9 +116,22 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if l.left < maxHeadBytes-smallHeadBytes {
+		memory := int64(n) * headMemoryFactor
+		if !l.heads.reserve(memory) {
+			return 0, errHeadsTooLarge
+		}
+		l.reserved += memory
+	}
 	return n, err
 }
 
+// release frees what the heads of an exchange have reserved.
+func (l *limitedReader) release() {
+	l.heads.used.Add(-l.reserved)
+	l.reserved = 0
+}
+
 // headError returns the error for a head that can't be read: what ended it, or else that
 // it is malformed.
 func (l *limitedReader) headError() error {
@@ -208,6 +231,7 @@
 // second call closes the connection, which may carry another request by then.
 func (b *responseBody) Close() error {
 	active := b.stop()
+	b.conn.limit.release()
 	reusable := !b.conn.unidentified && len(b.conn.sent) < maxRequestsPerConn
 	if !active || !b.complete || b.resp.Close || !reusable || !b.requestWritten() {
 		return b.conn.Close()
--- a/root/traffic/engine/http.go
+++ b/root/traffic/engine/http.go
@@ -113,7 +113,7 @@
 func newHTTPResponse(h *HTTPClient, c Call, resp *http.Response, cancel context.CancelFunc) *httpResponse {
 	r := &httpResponse{client: h, call: c, resp: resp, cancel: cancel, received: c.ResumeAfter}
 	if r.Head().Stream {
-		r.events = newEventReader(resp.Body)
+		r.events = &eventReader{h.transport.NewResponseReader(resp)}
 	}
 	return r
 }
@@ -186,6 +186,9 @@
 
 // Close cancels an unfinished request and releases the connection.
 func (r *httpResponse) Close() {
+	if r.events != nil {
+		r.events.events.Close()
+	}
 	// Before cancel, which closes the connection of a complete response too.
 	r.resp.Body.Close()
 	r.cancel()
--- a/root/traffic/engine/sse.go
+++ b/root/traffic/engine/sse.go
@@ -1,13 +1,10 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"strconv"
 	"strings"
-
-	"github.com/wagtaildyke/wagtaildyke/fault"
 )
 
 // maxEventBytes bounds one server-sent event.
@@ -23,65 +20,47 @@
 }
 
 // eventReader parses a stream of server-sent events.
-type eventReader struct {
-	scanner *bufio.Scanner
-}
-
-func newEventReader(r io.Reader) *eventReader {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	scanner.Split(splitLine)
-	return &eventReader{scanner: scanner}
-}
+type eventReader struct{ events *VerbatimReader }
 
-// splitLine is a bufio.SplitFunc for lines that end with LF or CRLF. Unlike
-// bufio.ScanLines it rejects a last line without a line end as truncated.
-func splitLine(data []byte, atEOF bool) (int, []byte, error) {
-	if i := bytes.IndexByte(data, '\n'); i >= 0 {
-		return i + 1, bytes.TrimSuffix(data[:i], []byte{'\r'}), nil
-	}
-	if atEOF && len(data) > 0 {
-		return 0, nil, io.ErrUnexpectedEOF
-	}
-	return 0, nil, nil
-}
+func newEventReader(r io.Reader) *eventReader { return &eventReader{NewVerbatimReader(r)} }
 
 // next returns the next event with a data field; comments and other events are
 // skipped. The end of the stream is io.ErrUnexpectedEOF, since no event is read
 // after the one that ends a complete stream.
 func (r *eventReader) next() (parsedEvent, error) {
-	var ev parsedEvent
-	dataLines, size := 0, 0
-	for r.scanner.Scan() {
-		line := r.scanner.Bytes()
-		if len(line) == 0 {
-			if dataLines > 0 {
-				return ev, nil
-			}
-			ev, size = parsedEvent{}, 0
-			continue
+	for {
+		raw, err := r.events.Next()
+		if err == io.EOF {
+			return parsedEvent{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return parsedEvent{}, err
 		}
-		size += len(line)
-		if size > maxEventBytes {
-			return parsedEvent{}, fault.New(fault.TooLarge, part, "event exceeds %d bytes", maxEventBytes)
+		if ev, ok := parseEvent(raw.Bytes); ok {
+			return ev, nil
 		}
+	}
+}
+
+// parseEvent parses the lines of one event, which end with LF or CRLF. It reports whether
+// the event has a data field.
+func parseEvent(text []byte) (ev parsedEvent, hasData bool) {
+	for line := range bytes.Lines(text) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 		name, value, _ := strings.Cut(string(line), ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
 		case "data":
-			if dataLines > 0 {
+			if hasData {
 				ev.data = append(ev.data, '\n')
 			}
 			ev.data = append(ev.data, value...)
-			dataLines++
+			hasData = true
 		case "id":
 			ev.id = value
 		}
 	}
-	if err := r.scanner.Err(); err != nil {
-		return parsedEvent{}, err
-	}
-	return parsedEvent{}, io.ErrUnexpectedEOF
+	return ev, hasData
 }
 
 // DoneData returns the data of the event that ends a complete stream.
--- a/root/traffic/engine/transport.go
+++ b/root/traffic/engine/transport.go
@@ -70,8 +70,9 @@
 	stats transportCounters
 	// idSeed is the seed of the hashes of ids.
 	idSeed maphash.Seed
-	// bodies counts the memory of the response bodies that are being read.
-	bodies bodyMemory
+	// bodies counts the memory of the response bodies and events that are being read, and
+	// heads that of large heads until the end of their exchanges.
+	bodies, heads readMemory
 }
 
 // connPool holds the connections to one address.
@@ -94,13 +95,15 @@
 	// closed because bytes had followed a complete response by the time its body was
 	// closed. Bytes that arrive on an idle connection are not counted.
 	Unsolicited uint64 `json:"unasked_bytes"`
-	// BodyBytes is the memory reserved for response bodies that are being read.
+	// BodyBytes is the memory reserved for response bodies and events that are being read.
 	BodyBytes int64 `json:"body_bytes"`
 }
 
 // NewTransport returns a transport without connections.
 func NewTransport() *Transport {
-	return &Transport{dialer: sockets.Dialer(dialTimeout, ackTimeout), pools: map[string]*connPool{}, idSeed: maphash.MakeSeed()}
+	t := &Transport{dialer: sockets.Dialer(dialTimeout, ackTimeout), pools: map[string]*connPool{}, idSeed: maphash.MakeSeed()}
+	t.bodies.limit, t.heads.limit = maxBodiesBytes, maxHeadsBytes
+	return t
 }
 
 // Stats returns the counters.
@@ -178,6 +181,7 @@
 	resp, err := c.readHead(req)
 	if err != nil {
 		stop()
+		c.limit.release()
 		c.Close()
 		return nil, &SendError{Err: errors.Join(context.Cause(ctx), err)}
 	}
@@ -255,7 +259,7 @@
 		return nil, err
 	}
 	t.stats.opened.Add(1)
-	limit := &limitedReader{r: raw}
+	limit := &limitedReader{r: raw, heads: &t.heads}
 	return &conn{Conn: raw, transport: t, address: address, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize)}, nil
 }
 
--- a/root/traffic/engine/verbatim.go
+++ b/root/traffic/engine/verbatim.go
@@ -24,6 +24,10 @@
 // VerbatimReader splits a stream into events without changing their bytes.
 type VerbatimReader struct {
 	r *bufio.Reader
+	// memory counts the bytes of large events, of which reserved are those of the current
+	// one; nil for no limit.
+	memory   *readMemory
+	reserved int64
 	// needsEvent is set while the end of the stream can't be told from a connection that
 	// was closed after the head of the response.
 	needsEvent bool
@@ -34,11 +38,12 @@
 	return &VerbatimReader{r: bufio.NewReaderSize(r, readBufferSize)}
 }
 
-// NewResponseReader returns a VerbatimReader for the body of a response. If the response
-// has neither a length nor chunks and ends with its connection, it is complete only with
-// an event.
-func NewResponseReader(resp *http.Response) *VerbatimReader {
+// NewResponseReader returns a VerbatimReader for the body of a response of t, which must be
+// closed. If the response has neither a length nor chunks and ends with its connection, it
+// is complete only with an event.
+func (t *Transport) NewResponseReader(resp *http.Response) *VerbatimReader {
 	v := NewVerbatimReader(resp.Body)
+	v.memory = &t.bodies
 	v.needsEvent = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	return v
 }
@@ -48,11 +53,15 @@
 // otherwise is an error of kind fault.StreamCut, which does not wrap io.EOF. Lines may have
 // any length, as long as the event has at most maxEventBytes.
 func (v *VerbatimReader) Next() (VerbatimEvent, error) {
+	v.Close()
 	ev := VerbatimEvent{Comment: true}
 	lineStart := 0
 	for {
 		piece, err := v.r.ReadSlice('\n')
 		ev.Bytes = append(ev.Bytes, piece...)
+		if !v.reserve(int64(cap(ev.Bytes))) {
+			return VerbatimEvent{}, fault.Wrap(errBodiesTooLarge, fault.StreamCut, part, "read event stream")
+		}
 		switch {
 		case len(ev.Bytes) > maxEventBytes:
 			return VerbatimEvent{}, fault.New(fault.StreamCut, part, "event exceeds %d bytes", maxEventBytes)
@@ -78,6 +87,27 @@
 	}
 }
 
+// reserve reserves the memory of an event of this capacity beyond smallBodyBytes.
+func (v *VerbatimReader) reserve(capacity int64) bool {
+	more := capacity - smallBodyBytes - v.reserved
+	if v.memory == nil || more <= 0 {
+		return true
+	}
+	if !v.memory.reserve(more) {
+		return false
+	}
+	v.reserved += more
+	return true
+}
+
+// Close releases the memory of the last event. It does not close the stream.
+func (v *VerbatimReader) Close() {
+	if v.memory != nil {
+		v.memory.used.Add(-v.reserved)
+	}
+	v.reserved = 0
+}
+
 // parseEventNumber returns the value of an id field; 0 if it is not a number or out of
 // range.
 func parseEventNumber(value []byte) uint64 {
