--- a/root/orders/attempt_test.go
+++ b/root/orders/attempt_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +57,35 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(done.Applied, qt.IsFalse)
 }
+
+// TestEndlessHeadIsNotReadOn guards against a backend server that answers an order with a
+// head without end, all of which was kept until it had 10 MB.
+func TestEndlessHeadIsNotReadOn(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	var sent atomic.Int64
+	ended := make(chan struct{})
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer close(ended)
+		defer conn.Close()
+		text := "HTTP/1.1 200 OK\r\nX: "
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, text)
+			sent.Add(int64(n))
+			text = strings.Repeat("x", 4<<10)
+		}
+	}()
+	s := New(nil, logr.Discard())
+	_, err = s.observe(t.Context(), machine.IssueOrder{Server: fleet.Server{Address: "http://" + ln.Addr().String()}})
+	c.Assert(err, qt.IsNotNil)
+	<-ended
+	// The head, and what the sockets buffer.
+	c.Assert(sent.Load() < 8<<20, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+}
--- a/root/orders/orders.go
+++ b/root/orders/orders.go
@@ -34,6 +34,8 @@
 	minRetryBackoff  = 200 * time.Millisecond
 	maxRetryBackoff  = 3 * time.Second
 	maxResponseBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// lateEffectLimit is how long an attempt without a response may still take effect
 	// after its connection was closed.
 	lateEffectLimit = 2 * requestTimeout
@@ -55,11 +57,19 @@
 	return &Sender{
 		queue:  make(chan machine.IssueOrder, queueSize),
 		onDone: onDone,
-		client: &http.Client{Timeout: requestTimeout},
+		client: &http.Client{Timeout: requestTimeout, Transport: newTransport()},
 		log:    log,
 	}
 }
 
+// newTransport returns the default transport with a bound on heads, which is 10 MB
+// otherwise.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return t
+}
+
 // Submit queues an order. It never blocks.
 func (s *Sender) Submit(o machine.IssueOrder) {
 	select {
