--- a/root/control/machine/departures.go
+++ b/root/control/machine/departures.go
@@ -1,6 +1,8 @@
 package machine
 
 import (
+	"slices"
+
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 )
@@ -37,6 +39,23 @@
 	l.propose(replicated.RecordFleet{Servers: record}, p)
 }
 
+// identifyDepartures returns the command with the incarnations that departures in it don't
+// name, as this process knows them. A departure that reaches the leader late must not apply
+// to a later start of the server.
+func (c *leaseClient) identifyDepartures(cmd replicated.Command) replicated.Command {
+	record, ok := cmd.(replicated.RecordFleet)
+	if !ok {
+		return cmd
+	}
+	record.Servers = slices.Clone(record.Servers)
+	for i := range record.Servers {
+		if s := &record.Servers[i]; s.Incarnation == 0 {
+			s.Incarnation = c.knownServer(s.ID).Incarnation
+		}
+	}
+	return record
+}
+
 // recordedDepartures returns the recorded servers that are draining or have left.
 func recordedDepartures(state *replicated.State) []fleet.Server {
 	var out []fleet.Server
--- a/root/control/machine/departures_test.go
+++ b/root/control/machine/departures_test.go
@@ -173,3 +173,29 @@
 		}
 	}
 }
+
+// TestLateDepartureSparesALaterStart guards against a departure without an incarnation that
+// reaches the leader after the server has started again under its id.
+func TestLateDepartureSparesALaterStart(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, machine.RuleNone)
+	leader := sim.waitForLeader()
+	at := sim.nodes[replicas]
+	announce := func(incarnation uint64) {
+		sim.nodes[replicas+1].step(machine.Announced{Server: fleet.Server{
+			ID: engineID, Incarnation: incarnation, Sequence: 1, Address: "http://engine", Targets: []string{"assistant"}, Slots: 8,
+		}})
+	}
+	announce(1)
+	sim.runFor(2 * time.Second)
+	c.Assert(sim.allShow(fleet.Active), qt.IsTrue)
+	at.isolated = true
+	at.nextID++
+	at.step(machine.Submit{ID: at.nextID, Command: replicated.RecordFleet{Servers: []fleet.Server{fleet.Leave(engineID, 0)}}})
+	announce(2)
+	sim.runFor(2 * time.Second)
+	at.isolated = false
+	sim.runFor(3 * time.Second)
+	c.Assert(sim.allShow(fleet.Active), qt.IsTrue)
+	c.Assert(leader.view.Servers[0].Incarnation, qt.Equals, uint64(2))
+}
--- a/root/control/machine/machine.go
+++ b/root/control/machine/machine.go
@@ -71,7 +71,7 @@
 	case Deregistered:
 		m.leaseClient.onDeregistered(ev)
 	case Submit:
-		m.proposals.submit(ev)
+		m.proposals.submit(ev.ID, m.leaseClient.identifyDepartures(ev.Command))
 	case TrafficReport:
 		m.leaseClient.onTraffic(ev)
 	case SegmentReport:
--- a/root/control/machine/proposals.go
+++ b/root/control/machine/proposals.go
@@ -34,7 +34,7 @@
 	return &proposals{m: m, pending: map[uint64]*proposal{}}
 }
 
-func (p *proposals) submit(ev Submit) { p.add(ev.ID, ev.Command, nil) }
+func (p *proposals) submit(id uint64, cmd replicated.Command) { p.add(id, cmd, nil) }
 
 // propose sends a command of the machine itself to the leader and passes its result to
 // done. The sum of incarnation and count must differ from those of earlier processes
