--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -98,7 +98,9 @@
 	l.nextLoadRefresh = l.m.now.Add(l.m.cfg.Timing.RenewInterval)
 	changed := l.views.Set(l.r.state.Table(), l.r.state.Routes(), l.viewServers(), l.viewVMs())
 	changed = l.views.SetSegments(l.segments.list()) || changed
-	changed = l.views.SetDeparted(l.fleet.Departed()) || changed
+	if !l.partialUntil.IsZero() {
+		changed = l.views.SetDeparted(l.fleet.Departed()) || changed
+	}
 	for _, vm := range l.views.Current().VMs {
 		if _, known := l.leavingSeq[vm.ID]; !known && vm.State == fleet.Leaving {
 			l.leavingSeq[vm.ID] = l.seq()
--- a/root/control/machine/membership.go
+++ b/root/control/machine/membership.go
@@ -42,9 +42,9 @@
 }
 
 // withoutSilentVoter returns the members without a voter that has been silent for
-// ReplicaReplaceAfter, if the learner can take its place. A learner that were promoted next
-// to it would make the quorum larger by a voter that may never return, and a few such
-// promotions would leave no quorum.
+// ReplicaReplaceAfter, if the learner can take its place. Promoting the learner next to it
+// would let a voter that may never return count towards a larger quorum, which a few such
+// promotions make unreachable.
 func (l *leader) withoutSilentVoter(st consensus.Status, silent, learner consensus.ReplicaID) (consensus.Members, bool) {
 	if l.m.now.Sub(st.Acked[silent]) < l.m.cfg.Timing.ReplicaReplaceAfter || !l.r.core.CanPromote(learner) {
 		return consensus.Members{}, false
--- a/root/gateway/registrar.go
+++ b/root/gateway/registrar.go
@@ -33,7 +33,7 @@
 
 // Announce handles the announcement of a backend server. The error is of kind
 // fault.Invalid for texts that fleet.Server.Validate rejects or a service that the routing
-// document does not define, and fault.Unavailable if the control thread did not accept the announcement.
+// document does not define. Other errors are those of loop.Announce.
 func (r *Registrar) Announce(ctx context.Context, s fleet.Server) error {
 	if err := s.Validate(); err != nil {
 		return err
