--- a/root/build.go
+++ b/root/build.go
@@ -115,9 +115,12 @@
 	p.dispatcher.SetShares(out)
 }
 
+// setServerShares ignores the shares in a process without a placer. A leader may still send
+// them to a VM that reported a server's limit before it restarted with other settings.
 func (p *Process) setServerShares(shares []fleet.ServerShare) {
-	// Only a placer reports servers with a limit.
-	p.placer.SetServerShares(shares)
+	if p.placer != nil {
+		p.placer.SetServerShares(shares)
+	}
 }
 
 // timingFor returns the timing parameters of the control state. In a platform
--- a/scenario/departure_test.go
+++ b/scenario/departure_test.go
@@ -123,7 +123,7 @@
 }
 
 // depart makes the server leave in one of three ways: it deregisters, reports that it is
-// draining and falls silent, or goes on reporting that. It returns the replica that
+// draining and falls silent, or keeps reporting that. It returns the replica that
 // acknowledged it.
 func (s *fleetServer) depart(way int) *fleetVM {
 	s.mu.Lock()
