--- a/root/control/loop/announce.go
+++ b/root/control/loop/announce.go
@@ -29,7 +29,7 @@
 	if err := post(ctx, c, machine.Announced{Server: s}); err != nil {
 		return err
 	}
-	if s.State != fleet.Draining && s.State != fleet.Leaving {
+	if !s.Departing() {
 		return nil
 	}
 	return commitDeparture(ctx, c, s)
--- a/root/traffic/engine/sse.go
+++ b/root/traffic/engine/sse.go
@@ -22,8 +22,6 @@
 // eventReader parses a stream of server-sent events.
 type eventReader struct{ events *VerbatimReader }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{NewVerbatimReader(r)} }
-
 // next returns the next event with a data field; comments and other events are
 // skipped. The end of the stream is io.ErrUnexpectedEOF, since no event is read
 // after the one that ends a complete stream.
