Play changes of the routes beside lost replicas and cut entries on real processes

Earlier trials on real processes had no cuts, frozen entries or kept connections, and did not reproduce the first.

Five replicas and three entries on loopback; each version sends one route to another service, so that each run of a request tells the version that its entry obeyed. Right after an acknowledgement the replica that gave it, the leader, both, the next leader too, or all replicas are killed, frozen, wiped or replaced, or stopped in series; entries are frozen, restarted, or cut off by relays that lose what was sent to them. Checked: no older version 2 s after the acknowledgement at an entry in contact, never one after a newer one at an entry, reads and changes within 4 s while nothing disturbs the replicas, and the last version at the end. A violation beside which the control thread of a replica or of the entry got no processor time is printed and not counted: that VM was slowed.

--- a/scenario/departure_test.go
+++ b/scenario/departure_test.go
@@ -26,11 +26,12 @@
 // fleetServer is a stand-in for a backend server. It announces itself until it departs, and
 // serves on.
 type fleetServer struct {
-	f       *fleet
-	id      string
-	address string
-	born    int64
-	http    *http.Server
+	f                    *fleet
+	id, service, address string
+	born                 int64
+	http                 *http.Server
+	// observe is called with the service and every request if it is set.
+	observe func(string, *http.Request)
 
 	mu       sync.Mutex
 	sequence int
@@ -44,13 +45,16 @@
 	late []time.Duration
 }
 
-func (f *fleet) addServer() *fleetServer {
+func (f *fleet) addServer() *fleetServer { return f.addServerOf("s", nil) }
+
+// addServerOf adds a server of a service. observe is called for each of its requests.
+func (f *fleet) addServerOf(service string, observe func(string, *http.Request)) *fleetServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := len(f.servers) + 1
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", f.net, 100+n%100))
 	qt.Assert(f.t, err, qt.IsNil)
-	s := &fleetServer{f: f, id: fmt.Sprintf("i-%d", n), address: ln.Addr().String(), born: time.Now().UnixMilli(), state: "ready"}
+	s := &fleetServer{f: f, id: fmt.Sprintf("i-%d", n), service: service, observe: observe, address: ln.Addr().String(), born: time.Now().UnixMilli(), state: "ready"}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(ln) }()
 	f.servers = append(f.servers, s)
@@ -63,6 +67,9 @@
 func (s *fleetServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	calm := s.f.calm(now)
+	if s.observe != nil {
+		s.observe(s.service, r)
+	}
 	s.mu.Lock()
 	if age := now.Sub(s.acked); s.ackedInTouch && age > fleetDrainTimeout && calm {
 		s.late = append(s.late, age)
@@ -99,7 +106,7 @@
 	s.mu.Lock()
 	s.sequence++
 	body, err := json.Marshal(map[string]any{
-		"Service": "s", "Address": s.address, "Zone": "a", "Version": "v1", "Slots": 8, "State": s.state,
+		"Service": s.service, "Address": s.address, "Zone": "a", "Version": "v1", "Slots": 8, "State": s.state,
 		"ColdRemainingMs": 0, "Sequence": s.sequence, "born": s.born,
 	})
 	first := s.sequence
@@ -108,8 +115,9 @@
 		return nil
 	}
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for i := range s.f.replicas {
-		v := s.f.replicas[(first+i)%len(s.f.replicas)]
+	replicas := s.f.currentReplicas()
+	for i := range replicas {
+		v := replicas[(first+i)%len(replicas)]
 		resp, err := client.Post("http://"+s.f.address(v, s.f.controlPort)+"/wagtaildyke/"+name+"/"+s.id, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -23,11 +23,14 @@
 // fleet is a deployment of the platform's front: replicas, entries and servers of one plain
 // service, whose processes share the ports and have a loopback address each.
 type fleet struct {
-	t                         *testing.T
-	dir, net                  string
-	peersPort, controlPort    int
-	frontendPort, readyPort   int
-	replicas, entries         []*fleetVM
+	t                       *testing.T
+	dir, net                string
+	peersPort, controlPort  int
+	hiddenPort              int
+	frontendPort, readyPort int
+	replicas, entries       []*fleetVM
+	// fronts carry the sessions between VMs, by the address of the VM; empty without relays.
+	fronts                    map[string]*front
 	mu                        sync.Mutex
 	servers                   []*fleetServer
 	disturbances              []time.Time
@@ -55,31 +58,59 @@
 
 // startFleet starts all processes and waits until the entries are ready.
 func startFleet(t *testing.T, replicas, entries int) *fleet {
+	f := newFleet(t, replicas, entries)
+	f.startAll()
+	f.putRoutes()
+	f.awaitEntries()
+	return f
+}
+
+// newFleet returns a fleet whose processes don't run yet.
+func newFleet(t *testing.T, replicas, entries int) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, clusters.Add(1)), done: make(chan struct{})}
-	for i, port := range []*int{&f.peersPort, &f.controlPort, &f.frontendPort, &f.readyPort} {
+	for i, port := range []*int{&f.peersPort, &f.controlPort, &f.frontendPort, &f.readyPort, &f.hiddenPort} {
 		*port = f.freePort(i)
 	}
 	for i := range replicas + entries {
-		v := &fleetVM{ip: fmt.Sprintf("%s.%d", f.net, i+1)}
-		v.name = fmt.Sprintf("vm-%d", i+1)
-		v.log = filepath.Join(f.dir, v.name+".log")
-		v.args = []string{"serve", "--settings", filepath.Join(f.dir, v.name+".jsonc")}
+		v := f.newVM(i+1, i < replicas)
 		if i < replicas {
-			v.data = filepath.Join(f.dir, v.name+".data")
 			f.replicas = append(f.replicas, v)
 		} else {
 			f.entries = append(f.entries, v)
 		}
 	}
 	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) newVM(number int, replica bool) *fleetVM {
+	v := &fleetVM{ip: fmt.Sprintf("%s.%d", f.net, number)}
+	v.name = fmt.Sprintf("vm-%d", number)
+	v.log = filepath.Join(f.dir, v.name+".log")
+	v.args = []string{"serve", "--settings", filepath.Join(f.dir, v.name+".jsonc")}
+	if replica {
+		v.data = filepath.Join(f.dir, v.name+".data")
+	}
+	return v
+}
+
+func (f *fleet) startAll() {
 	for _, v := range slices.Concat(f.replicas, f.entries) {
 		f.start(v, true)
 	}
-	f.putRoutes()
+}
+
+func (f *fleet) awaitEntries() {
 	for _, v := range f.entries {
 		f.await("http://"+f.address(v, f.readyPort)+"/wagtaildyke/ready", http.MethodGet, nil)
 	}
-	return f
+}
+
+// currentReplicas returns the replicas that have not been replaced.
+func (f *fleet) currentReplicas() []*fleetVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.replicas)
 }
 
 // freePort returns a port below the range of outgoing connections.
@@ -102,10 +133,14 @@
 	s := settings.Defaults()
 	s.Cluster, s.VM, s.FailureDomain = "scenario", v.ip, "a"
 	s.Discovery = &settings.Discovery{PeersPort: f.peersPort, Bootstrap: bootstrap}
-	for _, r := range f.replicas[:min(3, len(f.replicas))] {
+	replicas := f.currentReplicas()
+	for _, r := range replicas[:min(3, len(replicas))] {
 		s.Discovery.Seeds = append(s.Discovery.Seeds, f.address(r, f.controlPort))
 	}
 	s.Peers = settings.Peers{Listen: f.address(v, f.peersPort), AllowPlaintext: true}
+	if f.fronts[v.ip] != nil {
+		s.Peers.Listen = f.address(v, f.hiddenPort)
+	}
 	s.Operator = settings.Operator{Listen: "127.0.0.1:0"}
 	s.Log.Format = "json"
 	s.Platform = &settings.Platform{
@@ -130,6 +165,9 @@
 	for _, v := range slices.Concat(f.replicas, f.entries) {
 		v.stop()
 	}
+	for _, fr := range f.fronts {
+		fr.close()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
