Play a series of replacements that ends with a lost leader beside a cut entry

Half of the series end with all replicas killed, the other half with one more leader replaced, so that a quorum of voters that include lost replicas can't be reached.

--- a/scenario/route_play_test.go
+++ b/scenario/route_play_test.go
@@ -204,7 +204,7 @@
 	hitCutThenKillLeader
 	hitCutThenKillAll
 	hitCutThenNoQuorum
-	hitSeriesThenCutAndKillAll
+	hitSeriesThenCut
 	hits
 )
 
@@ -242,12 +242,13 @@
 			p.mu.Unlock()
 			p.f.start(entry, false)
 		})
-	case hitSeriesThenCutAndKillAll:
+	case hitSeriesThenCut:
 		for range seriesLength {
 			p.hitReplicas(hitReplaceLeader, pause)
 		}
 		time.Sleep(diskInterval)
-		p.cutOffDuring(entry, hitCutThenKillAll, pause)
+		last := []int{hitCutThenKillAll, hitReplaceLeader}[p.rng.IntN(2)]
+		p.cutOffDuring(entry, last, pause)
 	case hitCutThenKillLeader, hitCutThenKillAll, hitCutThenNoQuorum:
 		p.cutOffDuring(entry, kind, pause)
 	default:
