--- a/scenario/route_play_test.go
+++ b/scenario/route_play_test.go
@@ -204,7 +204,7 @@
 	hitCutThenKillLeader
 	hitCutThenKillAll
 	hitCutThenNoQuorum
-	hitSeriesThenCut
+	hitCutsInSeries
 	hits
 )
 
@@ -242,11 +242,12 @@
 			p.mu.Unlock()
 			p.f.start(entry, false)
 		})
-	case hitSeriesThenCut:
+	case hitCutsInSeries:
 		for range seriesLength {
-			p.hitReplicas(hitReplaceLeader, pause)
+			p.awaitDisks()
+			p.cutOffDuring(entry, hitReplaceLeader, pause)
 		}
-		time.Sleep(diskInterval)
+		p.awaitDisks()
 		last := []int{hitCutThenKillAll, hitReplaceLeader}[p.rng.IntN(2)]
 		p.cutOffDuring(entry, last, pause)
 	case hitCutThenKillLeader, hitCutThenKillAll, hitCutThenNoQuorum:
@@ -271,9 +272,8 @@
 
 // hitReplicas changes the routes and disturbs replicas right after the acknowledgement.
 func (p *routePlay) hitReplicas(kind int, pause time.Duration) {
-	disk := kind == hitWipeLeader || kind == hitReplaceLeader
-	if disk && time.Since(p.lastDisk) < diskInterval {
-		time.Sleep(diskInterval - time.Since(p.lastDisk))
+	if kind == hitWipeLeader || kind == hitReplaceLeader {
+		p.awaitDisks()
 	}
 	leader := p.leader()
 	acker := p.change()
@@ -324,6 +324,9 @@
 	})
 }
 
+// awaitDisks waits until a disk may be lost again.
+func (p *routePlay) awaitDisks() { time.Sleep(diskInterval - time.Since(p.lastDisk)) }
+
 func (p *routePlay) check(err error) { qt.Check(p.f.t, err, qt.IsNil) }
 
 func (p *routePlay) freeze(vms []*fleetVM, pause time.Duration) {
