--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -173,6 +173,9 @@
 	case machine.RoutesRead:
 		l.log.Info("routes read", "for", e.Proposer, "version", e.Version, "index", e.Index, "term", e.Term,
 			"waited_ms", e.Waited.Milliseconds())
+	case machine.RoutesAcknowledged:
+		l.log.Info("routes acknowledged", "for", e.Proposer, "version", e.Version, "term", e.Term,
+			"entries", e.Entries, "lacking", e.Lacking)
 	case machine.Halt:
 		l.halt(e.Err)
 	}
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -118,9 +118,13 @@
 		l.nextFleetRecord = time.Time{}
 	}
 	l.orders.onApplied(cmd, result)
-	if ours {
-		l.answer(p, result)
+	if !ours {
+		return
+	}
+	if cmd, ok := cmd.(replicated.ReplaceRoutes); ok && result.Err == nil {
+		l.reportAcknowledgedRoutes(p, cmd.Document.Version)
 	}
+	l.answer(p, result)
 }
 
 func (l *leader) onTableChange(p proposer, ours bool, result replicated.Result) {
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -286,20 +286,33 @@
 	Waited time.Duration
 }
 
+// RoutesAcknowledged reports that this leader acknowledged a routing document, for the log.
+type RoutesAcknowledged struct {
+	// Proposer is the VM that passed the document on.
+	Proposer string
+	Version  uint64
+	Term     uint64
+	// Entries is the number of entries with a live lease, and Lacking are those of them
+	// that have not reported this version or a later one.
+	Entries int
+	Lacking []string
+}
+
 // Halt stops the process because the control state is corrupt or a snapshot of it
 // failed.
 type Halt struct{ Err *fault.Error }
 
-func (Persist) effect()           {}
-func (Send) effect()              {}
-func (Publish) effect()           {}
-func (SetShares) effect()         {}
-func (SetServerShares) effect()   {}
-func (Answer) effect()            {}
-func (IssueOrder) effect()        {}
-func (EncodeSnapshot) effect()    {}
-func (History) effect()           {}
-func (LeadershipChanged) effect() {}
-func (MembersChanged) effect()    {}
-func (RoutesRead) effect()        {}
-func (Halt) effect()              {}
+func (Persist) effect()            {}
+func (Send) effect()               {}
+func (Publish) effect()            {}
+func (SetShares) effect()          {}
+func (SetServerShares) effect()    {}
+func (Answer) effect()             {}
+func (IssueOrder) effect()         {}
+func (EncodeSnapshot) effect()     {}
+func (History) effect()            {}
+func (LeadershipChanged) effect()  {}
+func (MembersChanged) effect()     {}
+func (RoutesRead) effect()         {}
+func (RoutesAcknowledged) effect() {}
+func (Halt) effect()               {}
