--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -175,7 +175,7 @@
 			"waited_ms", e.Waited.Milliseconds())
 	case machine.RoutesAcknowledged:
 		l.log.Info("routes acknowledged", "for", e.Proposer, "version", e.Version, "term", e.Term,
-			"entries", e.Entries, "lacking", e.Lacking)
+			"entries", e.Entries, "lacking", e.Lacking, "waited_ms", e.Waited.Milliseconds())
 	case machine.Halt:
 		l.halt(e.Err)
 	}
--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -43,6 +43,10 @@
 	// FleetDiscoveryTime is how long a leader that started without a view waits for
 	// announcements before it treats the fleet as fully known.
 	FleetDiscoveryTime time.Duration
+	// EntryConfirmTimeout bounds the time from a proposal of routes or of the departure of a
+	// server until its answer for which the answer waits for entries. It is below the
+	// timeout of those who ask.
+	EntryConfirmTimeout time.Duration
 	// ReplicaRemoveAfter is the silence after which a replica is removed from an
 	// open membership. One that stopped gracefully is removed at the next sweep. At
 	// least three voters stay.
@@ -76,8 +80,9 @@
 		LedgerTickInterval:    time.Minute,
 		MaxClockDrift:         0.01,
 		// Backend servers announce themselves once a second.
-		FleetDiscoveryTime: 2500 * time.Millisecond,
-		ReplicaRemoveAfter: 12 * time.Second,
+		FleetDiscoveryTime:  2500 * time.Millisecond,
+		EntryConfirmTimeout: 400 * time.Millisecond,
+		ReplicaRemoveAfter:  12 * time.Second,
 		// A new replica has to vote a few seconds after it started, because the next VM may
 		// be lost then.
 		ReplicaReplaceAfter: 1500 * time.Millisecond,
--- a/root/control/machine/route_acks_test.go
+++ b/root/control/machine/entry_acks_test.go
@@ -62,3 +62,49 @@
 		c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestSilentEntryDelaysAnAcknowledgementBriefly guards against changes of the routes that
+// wait for an entry that is gone.
+func TestSilentEntryDelaysAnAcknowledgementBriefly(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 10; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		sim.trackAcks()
+		sim.runFor(rejoinTime)
+		at := sim.waitForLiveLeader()
+		timing := at.m.Timing()
+		entry := sim.nodes[slices.IndexFunc(sim.nodes, isEntryOnly)]
+		sim.losePower(entry)
+		for _, limit := range []time.Duration{timing.EntryConfirmTimeout, timing.EntryConfirmTimeout, 100 * time.Millisecond} {
+			began := sim.now
+			sim.acknowledgeRoutes(at)
+			took := sim.now.Sub(began)
+			c.Check(took <= limit+2*stepTime, qt.IsTrue, qt.Commentf("seed %d: answered after %s", seed, took))
+			sim.runFor(time.Second)
+		}
+		c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestRoutesOfALargeFleetCauseNoBurstOfRenews guards against hundreds of entries that are
+// asked at once to confirm a change, which keeps the heartbeats of consensus waiting.
+func TestRoutesOfALargeFleetCauseNoBurstOfRenews(t *testing.T) {
+	c := qt.New(t)
+	sim := newOpenSimulation(1, machine.RuleNone)
+	sim.lossless = true
+	for range 100 {
+		sim.addNode(false).start()
+	}
+	sim.trackAcks()
+	sim.runFor(rejoinTime)
+	asked := 0
+	sim.onSend = func(_, _ string, msg machine.Message) {
+		if g, ok := msg.(machine.Grant); ok && g.Confirm {
+			asked++
+		}
+	}
+	sim.acknowledgeRoutes(sim.waitForLiveLeader())
+	c.Check(asked, qt.Equals, 0)
+	c.Check(sim.violation, qt.Equals, "")
+}
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -40,6 +40,7 @@
 	nextSweep      time.Time
 	nextLedgerTick time.Time
 	pushes         *pushes
+	acks           *entryAcks
 	// nextLoadRefresh is the earliest time of the next view that only updates
 	// loads.
 	nextLoadRefresh time.Time
@@ -87,6 +88,7 @@
 	l.serverLimits = &serverLimits{l: l, known: map[string]serverLimit{}}
 	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
 	l.segments = newSegments(l)
+	l.acks = newEntryAcks(l, previous.VMs)
 	l.pushView()
 	l.pushes.announceLeadership(previous.VMs)
 	return l
@@ -167,6 +169,7 @@
 	}
 	l.reconcileMembership(from, msg.Replica)
 	l.grantLease(from, msg)
+	l.acks.onRenew(from)
 	l.answerAppliedChanges()
 	l.orders.advance()
 }
@@ -196,6 +199,7 @@
 func (l *leader) tick() {
 	now := l.m.now
 	l.pushes.tick()
+	l.acks.answerComplete()
 	if now.Before(l.nextSweep) {
 		return
 	}
@@ -218,7 +222,9 @@
 	}
 }
 
-func (l *leader) nextWake() time.Time { return earlier(l.nextSweep, l.pushes.nextWake()) }
+func (l *leader) nextWake() time.Time {
+	return earlier(earlier(l.nextSweep, l.pushes.nextWake()), l.acks.nextWake())
+}
 
 // endPartialView marks the view as complete once partialUntil has passed.
 func (l *leader) endPartialView() {
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -15,6 +15,8 @@
 	id uint64
 	// term is the term in which the leader proposed the entry.
 	term uint64
+	// receivedAt is when the leader received the proposal.
+	receivedAt time.Time
 }
 
 // pendingChange is an accepted table change that is answered once every lease
@@ -28,7 +30,7 @@
 // onPropose handles a command proposed by a process. Commands that only the leader
 // issues are rejected.
 func (l *leader) onPropose(from string, msg Propose) {
-	p := proposer{vm: from, id: msg.ID}
+	p := proposer{vm: from, id: msg.ID, receivedAt: l.m.now}
 	if l.isPending(p) {
 		return
 	}
@@ -67,7 +69,7 @@
 			return true
 		}
 	}
-	return l.orders.isPending(p)
+	return l.acks.isPending(p) || l.orders.isPending(p)
 }
 
 // propose appends a command to the log. p is answered once the command is applied, or
@@ -99,32 +101,43 @@
 }
 
 // onApplied answers the proposer of a committed log entry. A table change is answered
-// only once it has been applied everywhere.
+// only once it has been applied everywhere, and routes once the entries have confirmed
+// them.
 func (l *leader) onApplied(e consensus.Entry, cmd replicated.Command, result replicated.Result) {
 	p, ours := l.proposers[e.Index]
 	delete(l.proposers, e.Index)
 	// Another leader may have committed its own entry at this index.
 	ours = ours && p.term == e.Term
-	switch cmd.(type) {
+	switch cmd := cmd.(type) {
 	case replicated.ChangeTable:
 		l.onTableChange(p, ours, result)
 		return
 	case replicated.ReplaceRoutes:
-		// Before the answer: a lease that is granted later must not vouch for older routes.
-		l.pushView()
+		l.onRoutes(p, ours, cmd.Document.Version, result)
+		return
 	case replicated.SetDrain, replicated.SetFencing, replicated.QuarantineSegments:
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
 	}
 	l.orders.onApplied(cmd, result)
-	if !ours {
-		return
-	}
-	if cmd, ok := cmd.(replicated.ReplaceRoutes); ok && result.Err == nil {
-		l.reportAcknowledgedRoutes(p, cmd.Document.Version)
+	if ours {
+		l.answer(p, result)
 	}
-	l.answer(p, result)
+}
+
+// onRoutes pushes the routes in force and answers the proposer of a document of the given
+// version.
+func (l *leader) onRoutes(p proposer, ours bool, version uint64, result replicated.Result) {
+	if ours && result.Err == nil {
+		l.acks.addRoutes(p, result, version)
+	}
+	// Before the answer: a lease that is granted later must not vouch for older routes.
+	l.pushView()
+	if ours && result.Err != nil {
+		l.answer(p, result)
+	}
+	l.acks.request()
 }
 
 func (l *leader) onTableChange(p proposer, ours bool, result replicated.Result) {
--- a/root/control/machine/lease_holders.go
+++ b/root/control/machine/lease_holders.go
@@ -18,9 +18,11 @@
 	// every push since then arrived. A push builds on pushed; a holder that cannot
 	// apply it renews at once.
 	confirmed, pushed view.Versions
-	tableVersion      uint64
-	demands           []fleet.Demand
-	serverDemands     []fleet.ServerDemand
+	// askedSeq is the sequence of the view that the holder was last asked to confirm.
+	askedSeq      uint64
+	tableVersion  uint64
+	demands       []fleet.Demand
+	serverDemands []fleet.ServerDemand
 	// loads are the holder's own requests per backend server, counted after its
 	// traffic had switched to view loadsSeq of this term.
 	loads    []fleet.OwnLoad
@@ -28,10 +30,16 @@
 }
 
 // needsConfirmation reports whether the holder should confirm the current view at
-// once, because a table change or a leaving VM waits for it. Other updates need no
-// early Renew: in a large fleet those would cost the leader as much as the updates.
-func (l *leader) needsConfirmation(h *leaseHolder) bool {
-	return len(l.leavingSeq) > 0 || h.tableVersion < l.currentTable().Version
+// once, because a table change, a leaving VM or an answer waits for it. Other updates need
+// no early Renew: in a large fleet those would cost the leader as much as the updates.
+func (l *leader) needsConfirmation(id string, h *leaseHolder) bool {
+	return len(l.leavingSeq) > 0 || h.tableVersion < l.currentTable().Version ||
+		len(l.holders) <= maxPromptConfirmations && l.acks.awaits(id)
+}
+
+// renewedAt returns when the holder last renewed.
+func (l *leader) renewedAt(h *leaseHolder) time.Time {
+	return h.expiresAt.Add(-l.m.cfg.Timing.ViewLease)
 }
 
 func (l *leader) grantLease(to string, msg Renew) {
@@ -70,6 +78,7 @@
 	delete(l.leavingSeq, from)
 	delete(l.holders, from)
 	l.fleet.RemoveVM(from)
+	l.acks.onStopped(from)
 	l.pushView()
 	l.answerAppliedChanges()
 }
--- a/root/control/machine/membership.go
+++ b/root/control/machine/membership.go
@@ -84,8 +84,7 @@
 	if h == nil {
 		return VMOf(id) != l.m.cfg.Self.ID
 	}
-	lastRenew := h.expiresAt.Add(-l.m.cfg.Timing.ViewLease)
-	return l.m.now.Sub(lastRenew) >= l.m.cfg.Timing.ReplicaRemoveAfter
+	return l.m.now.Sub(l.renewedAt(h)) >= l.m.cfg.Timing.ReplicaRemoveAfter
 }
 
 // nextMembers returns the next single-step change towards a membership in which vm
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -292,10 +292,12 @@
 	Proposer string
 	Version  uint64
 	Term     uint64
-	// Entries is the number of entries with a live lease, and Lacking are those of them
-	// that have not reported this version or a later one.
+	// Entries is the number of entries that were in contact with a leader, and Lacking are
+	// those of them that have not reported this version or a later one.
 	Entries int
 	Lacking []string
+	// Waited is the time since the document was proposed.
+	Waited time.Duration
 }
 
 // Halt stops the process because the control state is corrupt or a snapshot of it
--- a/root/control/machine/pushes.go
+++ b/root/control/machine/pushes.go
@@ -37,14 +37,18 @@
 	if !l.updateView() {
 		return
 	}
+	p.enqueueHolders()
+	p.tick()
+}
+
+func (p *pushes) enqueueHolders() {
 	var holders []fleet.VM
-	for _, id := range sortedKeys(l.holders) {
-		vm := l.holders[id].vm
+	for _, id := range sortedKeys(p.l.holders) {
+		vm := p.l.holders[id].vm
 		vm.ID = id
 		holders = append(holders, vm)
 	}
 	p.enqueue(holders)
-	p.tick()
 }
 
 // onFleetChange pushes a new view at most once per push interval. After a change of
@@ -132,16 +136,21 @@
 	case h == nil:
 		return false
 	case h.pushed == l.views.Versions():
-		if h.confirmed.Seq == l.seq() || !l.needsConfirmation(h) {
+		if h.confirmed.Seq == l.seq() || h.askedSeq == l.seq() || !l.needsConfirmation(id, h) {
 			return false
 		}
 		// The answer to a Renew asks for no confirmation.
+		h.askedSeq = l.seq()
 		l.m.send(id, p.announcement())
 		return true
 	}
 	u := l.views.Since(h.pushed)
 	h.pushed = l.views.Versions()
-	l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: u, Confirm: l.needsConfirmation(h)})
+	confirm := l.needsConfirmation(id, h)
+	if confirm {
+		h.askedSeq = l.seq()
+	}
+	l.m.send(id, Grant{Term: l.term, Seq: l.seq(), Update: u, Confirm: confirm})
 	return true
 }
 
