--- a/root/control/machine/entry_acks_test.go
+++ b/root/control/machine/entry_acks_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 )
 
@@ -108,3 +109,38 @@
 	c.Check(asked, qt.Equals, 0)
 	c.Check(sim.violation, qt.Equals, "")
 }
+
+// TestLostLeaderLeavesNoEntryWithADepartedServer guards against entries that keep sending
+// requests to a server, because the leader lost power right after its departure was
+// acknowledged and no other leader reaches them.
+func TestLostLeaderLeavesNoEntryWithADepartedServer(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		for _, state := range []fleet.State{fleet.Draining, fleet.Leaving} {
+			sim := newOpenSimulation(seed, machine.RuleNone)
+			sim.lossless = true
+			sim.announceState(sim.nodes[0], 1, fleet.Active)
+			sim.runFor(2 * time.Second)
+			c.Assert(sim.allShow(fleet.Active), qt.IsTrue)
+			leader := sim.waitForLiveLeader()
+			others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica })
+			// Another change of the fleet has just been pushed, so the next push waits.
+			other := fleet.Server{ID: "engine-2", Incarnation: 1, Sequence: 1, Address: "http://engine-2", Targets: []string{"assistant"}, Slots: 8, State: fleet.Active}
+			leader.step(machine.Announced{Server: other})
+			sim.runFor(2 * maxNetDelay)
+			sim.depart(others[0], state)
+			sim.losePower(leader)
+			sim.losePower(others[1])
+			sim.losePower(others[2])
+			sim.runFor(100 * time.Millisecond)
+			for _, n := range sim.nodes {
+				if isEntryOnly(n) && slices.ContainsFunc(n.view.Servers, isActiveEngine) {
+					sim.fail("%s shows the engine as active", n.id)
+				}
+			}
+			c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d, %s", seed, state))
+		}
+	}
+}
+
+func isActiveEngine(s fleet.Server) bool { return s.ID == engineID && s.State == fleet.Active }
