--- a/root/control/machine/departures.go
+++ b/root/control/machine/departures.go
@@ -9,7 +9,8 @@
 
 // onDepartures handles servers that have said at some process that they are draining or
 // leaving. All views show it at once. p is answered once the log has it, so that the next
-// leader knows it too, also one that starts after all processes were killed.
+// leader knows it too, also one that starts after all processes were killed, and the
+// entries have confirmed it.
 func (l *leader) onDepartures(p proposer, servers []fleet.Server) {
 	var record []fleet.Server
 	changed := false
@@ -33,7 +34,7 @@
 		l.onFleetChange()
 	}
 	if len(record) == 0 {
-		l.answer(p, replicated.Result{})
+		l.acks.addDepartures(p, replicated.Result{}, servers)
 		return
 	}
 	l.propose(replicated.RecordFleet{Servers: record}, p)
--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -60,6 +60,26 @@
 	a.add(&entryAck{proposer: p, result: result, routes: version})
 }
 
+// addDepartures adds an answer to p that waits until the entries have a view in which these
+// servers depart or are gone.
+func (a *entryAcks) addDepartures(p proposer, result replicated.Result, servers []fleet.Server) {
+	ack := &entryAck{proposer: p, result: result}
+	for _, s := range servers {
+		ack.seq = max(ack.seq, a.departureSeq(s.ID))
+	}
+	a.add(ack)
+	a.request()
+}
+
+// departureSeq returns the sequence of the first view in which a server departs or is gone.
+func (a *entryAcks) departureSeq(id string) uint64 {
+	servers := a.l.views.Current().Servers
+	i := slices.IndexFunc(servers, func(s fleet.Server) bool { return s.ID == id })
+	if i >= 0 && !servers[i].Departing() && a.l.pushes.pending {
+		return a.l.seq() + 1
+	}
+	return a.l.views.ServerSeq(id)
+}
 
 func (a *entryAcks) add(ack *entryAck) {
 	ack.lacking = a.awaited()
--- a/root/control/machine/entry_acks_test.go
+++ b/root/control/machine/entry_acks_test.go
@@ -144,3 +144,25 @@
 }
 
 func isActiveEngine(s fleet.Server) bool { return s.ID == engineID && s.State == fleet.Active }
+
+// TestRepeatedDepartureWaitsForNoEntry guards against heartbeats of a draining server that
+// make all entries confirm their view again.
+func TestRepeatedDepartureWaitsForNoEntry(t *testing.T) {
+	c := qt.New(t)
+	sim := newOpenSimulation(1, machine.RuleNone)
+	sim.lossless = true
+	sim.announceState(sim.nodes[0], 1, fleet.Active)
+	sim.runFor(2 * time.Second)
+	leader := sim.waitForLiveLeader()
+	sim.depart(leader, fleet.Draining)
+	sim.runFor(2 * time.Second)
+	asked := 0
+	sim.onSend = func(_, _ string, msg machine.Message) {
+		if g, ok := msg.(machine.Grant); ok && g.Confirm {
+			asked++
+		}
+	}
+	sim.depart(leader, fleet.Draining)
+	c.Check(asked, qt.Equals, 0)
+	c.Check(sim.violation, qt.Equals, "")
+}
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -101,8 +101,8 @@
 }
 
 // onApplied answers the proposer of a committed log entry. A table change is answered
-// only once it has been applied everywhere, and routes once the entries have confirmed
-// them.
+// only once it has been applied everywhere, and routes or the departure of a server once the
+// entries have confirmed them.
 func (l *leader) onApplied(e consensus.Entry, cmd replicated.Command, result replicated.Result) {
 	p, ours := l.proposers[e.Index]
 	delete(l.proposers, e.Index)
@@ -119,6 +119,10 @@
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
+		if ours && p.vm != "" && result.Err == nil {
+			l.acks.addDepartures(p, result, cmd.Servers)
+			return
+		}
 	}
 	l.orders.onApplied(cmd, result)
 	if ours {
--- a/root/control/view/tracker.go
+++ b/root/control/view/tracker.go
@@ -90,6 +90,18 @@
 	return &ChangeTracker{current: &View{Term: term}, servers: newChangeSeqs(), vms: newChangeSeqs()}
 }
 
+// ServerSeq returns the sequence number at which the attributes of a server last changed, or
+// at which it was removed; 0 for one that is not known any more.
+func (c *ChangeTracker) ServerSeq(id string) uint64 {
+	seq := c.servers.attributes[id]
+	for _, r := range c.removed {
+		if !r.vm && r.id == id {
+			seq = max(seq, r.seq)
+		}
+	}
+	return seq
+}
+
 // Current returns the current view, which must not be modified.
 func (c *ChangeTracker) Current() *View { return c.current }
 
