--- a/root/control/machine/replaced_replicas_test.go
+++ b/root/control/machine/replaced_replicas_test.go
@@ -90,3 +90,26 @@
 	c.Assert(voters, qt.HasLen, 5)
 	c.Assert(slices.Contains(voters, sim.nodes[len(sim.nodes)-1].identity), qt.IsTrue)
 }
+
+// TestLearnerJoinsWithoutFurtherRenews guards against a successor that stays a learner, with
+// one voter fewer, until its next Renew reaches the leader.
+func TestLearnerJoinsWithoutFurtherRenews(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 10; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.runFor(rejoinTime)
+		sim.replace(sim.waitForLiveLeader())
+		successor := sim.nodes[len(sim.nodes)-1]
+		started := sim.now
+		leader := sim.waitForLiveLeader()
+		for !slices.Contains(leader.m.Members().Learners, successor.identity) {
+			c.Assert(sim.now.Sub(started) < catchUpTime, qt.IsTrue, qt.Commentf("seed %d: no learner", seed))
+			sim.advance()
+		}
+		sim.dropRenewsOf = successor
+		sim.runFor(started.Add(catchUpTime).Sub(sim.now))
+		voters := leader.m.Members().Voters
+		c.Assert(slices.Contains(voters, successor.identity), qt.IsTrue, qt.Commentf("seed %d: voters %v", seed, voters))
+		c.Assert(voters, qt.HasLen, 5)
+	}
+}
--- a/root/control/machine/simulation_test.go
+++ b/root/control/machine/simulation_test.go
@@ -36,6 +36,8 @@
 	lossless bool
 	// dropGrants makes the network lose all Grants.
 	dropGrants bool
+	// dropRenewsOf is a node whose Renews the network loses, if it is set.
+	dropRenewsOf *node
 	// onAnswer is called for every answer if it is set.
 	onAnswer func(*node, machine.Answer)
 	// onSend is called for every message if it is set.
@@ -119,6 +121,9 @@
 	if _, isGrant := msg.(machine.Grant); isGrant && sim.dropGrants {
 		return
 	}
+	if _, isRenew := msg.(machine.Renew); isRenew && sim.dropRenewsOf == sim.node(from) {
+		return
+	}
 	copies := 1
 	if !sim.lossless && sim.rng.IntN(50) == 0 {
 		copies = 2
