--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -202,6 +202,7 @@
 	l.nextSweep = now.Add(l.m.cfg.Timing.SweepInterval)
 	l.endPartialView()
 	l.removeUnresponsiveReplica()
+	l.promoteLearners()
 	l.recordFleet()
 	l.abandonEarlierIncarnations()
 	l.segments.advance()
--- a/root/control/machine/membership.go
+++ b/root/control/machine/membership.go
@@ -13,22 +13,45 @@
 // new one, also after more voters have joined. In an open membership, a silent voter is
 // removed before the promotion as well.
 func (l *leader) reconcileMembership(vm string, id consensus.ReplicaID) {
-	if id == "" || !l.m.cfg.OpenMembership && !slices.Contains(l.m.cfg.Replicas, vm) {
+	if id == "" || !l.admits(vm) {
 		return
 	}
 	st := l.r.core.Status()
 	if slices.Contains(st.Members.Voters, id) {
 		return
 	}
+	l.changeMembers(st, vm, id)
+}
+
+// admits reports whether a replica on the VM may become a member.
+func (l *leader) admits(vm string) bool {
+	return l.m.cfg.OpenMembership || slices.Contains(l.m.cfg.Replicas, vm)
+}
+
+// promoteLearners goes on with the steps towards a vote of each learner that has caught up,
+// without another Renew of its VM: until it votes, the next loss may cost the quorum.
+func (l *leader) promoteLearners() {
+	st := l.r.core.Status()
+	for _, id := range st.Members.Learners {
+		vm := VMOf(id)
+		if l.admits(vm) && l.r.core.CanPromote(id) && !l.isUnresponsive(id) && l.changeMembers(st, vm, id) {
+			return
+		}
+	}
+}
+
+// changeMembers proposes the next change towards a membership in which vm votes as id, and
+// reports whether it did.
+func (l *leader) changeMembers(st consensus.Status, vm string, id consensus.ReplicaID) bool {
 	next := nextMembers(st.Members, vm, id)
 	if silent, ok := l.silentVoter(st); ok && len(next.Voters) > len(st.Members.Voters) {
 		if next, ok = l.withoutSilentVoter(st, silent, id); !ok {
-			return
+			return false
 		}
 	}
-	// A refused change, for example of a learner that lags, is retried at the next
-	// Renew.
-	_ = l.r.core.ChangeMembers(l.m.now, next)
+	// A refused change, for example while another one is not committed, is retried at the
+	// next Renew or sweep.
+	return l.r.core.ChangeMembers(l.m.now, next) == nil
 }
 
 // silentVoter returns the voter that has not followed this leader for the longest time, if
--- a/root/control/machine/replica.go
+++ b/root/control/machine/replica.go
@@ -131,6 +131,9 @@
 	r.appliedIndex = e.Index
 	if e.Kind == consensus.EntryMembers {
 		r.m.emit(MembersChanged{Index: e.Index, Members: e.Members})
+		if r.leader != nil {
+			r.leader.promoteLearners()
+		}
 	}
 	if e.Kind != consensus.EntryCommand {
 		return true
