--- a/root/control/consensus/coldstart.go
+++ b/root/control/consensus/coldstart.go
@@ -54,6 +54,8 @@
 	c.cold.round++
 	c.cold.roundStartedAt = c.now
 	c.cold.granted = map[ReplicaID]bool{c.cfg.ID: true}
+	c.answers.begin(MsgPreVote)
+	c.answers.replies[c.cfg.ID] = grantedVote
 	for _, id := range c.members().Voters {
 		if id == c.cfg.ID {
 			continue
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -81,6 +81,7 @@
 	// exceptions; see Message.Transfer and coldStart.
 	refuseVotesUntil time.Duration
 	cold             coldStart
+	answers          answers
 
 	leaderState *leaderState
 	writes      writeTracker
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -36,6 +36,8 @@
 	c.noteChange(LeaderSilent, c.leaderID)
 	c.role, c.leaderID = preCandidate, ""
 	c.votes = map[ReplicaID]bool{c.cfg.ID: true}
+	c.answers.begin(MsgPreVote)
+	c.answers.replies[c.cfg.ID] = grantedVote
 	if c.wonVotes() {
 		c.campaign(Message{})
 		return
@@ -52,6 +54,7 @@
 	c.term, c.vote = c.term+1, c.cfg.ID
 	c.writes.hardStateDirty = true
 	c.votes = map[ReplicaID]bool{}
+	c.answers.begin(MsgVote)
 	c.resetElectionTimer()
 	c.requestVotes(Message{Kind: MsgVote, Term: c.term, Transfer: flags.Transfer, ColdStart: flags.ColdStart})
 	c.sendAfterWrite(Message{Kind: MsgVoteReply, To: c.cfg.ID})
@@ -105,7 +108,7 @@
 	reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
 	if m.Term <= c.term || !c.isUpToDate(m) {
 		reply.Reject, reply.Term = true, c.term
-		c.send(reply)
+		c.send(c.withLastEntry(reply))
 		return
 	}
 	if m.ColdStart {
@@ -131,7 +134,7 @@
 	canVote := c.vote == "" && c.leaderID == ""
 	if m.Term < c.term || !c.isUpToDate(m) || !(canVote || c.vote == m.From) {
 		reply.Reject = true
-		c.sendAfterWrite(reply)
+		c.sendAfterWrite(c.withLastEntry(reply))
 		return
 	}
 	if c.vote != m.From {
--- a/root/control/consensus/node_test.go
+++ b/root/control/consensus/node_test.go
@@ -27,6 +27,8 @@
 	// applied is the index of the last applied entry, state the replicated state after it.
 	applied uint64
 	state   uint64
+	// changes are the changes of leadership since the node was added.
+	changes []Change
 
 	// The clock read clockBase at simulated time clockAt and has run at rate since.
 	rate      float64
--- a/root/control/consensus/receive.go
+++ b/root/control/consensus/receive.go
@@ -16,6 +16,7 @@
 // pre-votes and vote requests come first: this replica must not adopt their term
 // unconditionally.
 func (c *Core) step(m Message) {
+	c.recordAnswer(m)
 	switch m.Kind {
 	case MsgPreVote:
 		c.receivePreVote(m)
@@ -77,6 +78,7 @@
 	}
 	c.cold.awaitingFirstLeader = false
 	c.leaderHeardAt = c.now
+	c.answers = answers{}
 	c.resetElectionTimer()
 	c.refuseVotesUntil = max(c.refuseVotesUntil, c.now+c.cfg.ElectionTimeout)
 	return true
--- a/root/control/consensus/replicate.go
+++ b/root/control/consensus/replicate.go
@@ -137,10 +137,14 @@
 		return int64(c.leaderState.peers[id].match)
 	}))
 	if entryTerm, ok := c.log.term(reached); reached > c.commit && ok && c.rules.mayCommit(entryTerm, c.term) {
+		established := c.committedInTerm()
 		for _, e := range c.log.slice(c.commit+1, reached) {
 			c.leaderState.uncommittedBytes -= len(e.Data)
 		}
 		c.commit = reached
+		if !established && c.committedInTerm() {
+			c.noteChange(FirstCommit, "")
+		}
 	}
 	c.continueTransfer()
 	c.stepDownIfRemoved()
--- a/root/control/consensus/simulation_test.go
+++ b/root/control/consensus/simulation_test.go
@@ -115,6 +115,7 @@
 			n.core.leaderState.transfer.timeoutNowSent = false
 		}
 		out := n.core.Output()
+		n.changes = append(n.changes, out.Changes...)
 		sim.restore(n, out.Restore)
 		for _, e := range out.Committed {
 			n.apply(e)
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -166,8 +166,7 @@
 	case machine.History:
 		l.histories.deliver(e.ID, e)
 	case machine.LeadershipChanged:
-		l.log.Info("leadership changed", "reason", e.Change.Reason.String(), "term", e.Change.Term,
-			"peer", string(e.Change.Peer), "silence_ms", e.Change.Silence.Milliseconds())
+		logLeadership(l.log, e.Change)
 	case machine.MembersChanged:
 		l.log.Info("members of the log changed", "voters", e.Members.Voters, "learners", e.Members.Learners, "index", e.Index)
 	case machine.RoutesRead:
