--- a/root/control/consensus/ballot_test.go
+++ b/root/control/consensus/ballot_test.go
@@ -79,6 +79,7 @@
 			t.Fatalf("last change of the leader: %+v", last)
 		}
 		sim.isolate(leader)
+		isolatedAt := leader.core.now
 		sim.run(100, 50*time.Millisecond)
 		i := slices.IndexFunc(leader.changes, func(c Change) bool { return c.Reason == QuorumSilent })
 		if i < 0 || len(leader.changes[i].SilentVoters) != len(sim.nodes)-1 {
@@ -88,5 +89,8 @@
 		if last.Reason != LeaderSilent || len(last.Ballot.Unanswered) != len(sim.nodes)-1 {
 			t.Fatalf("last change of the isolated replica: %+v", last)
 		}
+		if led := isolatedAt; leader.core.now-last.Silence < led-electionTimeout {
+			t.Fatalf("silence of %v, although it led until %v after its start", last.Silence, led)
+		}
 	})
 }
--- a/root/control/consensus/changes.go
+++ b/root/control/consensus/changes.go
@@ -13,7 +13,7 @@
 	// Peer is the replica that caused the change, or empty.
 	Peer ReplicaID
 	// Silence is the time since a quorum acknowledged this leader, or since this replica
-	// heard from its leader.
+	// heard from its leader or led with a quorum.
 	Silence time.Duration
 	// SinceElection is the time since this leader was elected, and 0 on other replicas.
 	SinceElection time.Duration
@@ -76,7 +76,7 @@
 }
 
 // noteChange records a change for Output. Without a leader role, the silence is that of
-// the leader that this replica followed.
+// the leader that this replica followed, or of the quorum that followed this replica.
 func (c *Core) noteChange(reason ChangeReason, peer ReplicaID) {
 	voters := c.members().Voters
 	change := Change{
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -73,7 +73,8 @@
 	retainedEntries uint64
 
 	electionDeadline time.Duration
-	// leaderHeardAt is when a leader was last heard from; 0 before the first one.
+	// leaderHeardAt is when a leader was last heard from, or when this replica last led with
+	// a quorum; 0 before that.
 	leaderHeardAt time.Duration
 	// refuseVotesUntil is the time before which the replica grants neither pre-votes nor
 	// votes of a later term, because a leader may hold a lease based on an
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -19,6 +19,7 @@
 func (c *Core) becomeFollower(term uint64, leaderID ReplicaID) {
 	if c.role == leader {
 		c.refuseVotesUntil = max(c.refuseVotesUntil, c.leaseUntil())
+		c.leaderHeardAt = max(c.leaderState.electedAt, c.quorumAckedAt())
 		c.failReads()
 		c.leaderState = nil
 	}
