--- a/root/control/consensus/ballot_test.go
+++ b/root/control/consensus/ballot_test.go
@@ -67,6 +67,18 @@
 	c.Assert(core.term, qt.Equals, uint64(7))
 }
 
+// TestLogTellsVotersThatRefuseFromGoneOnes is like the first test, for a voter that may not
+// vote yet, as if it followed a leader.
+func TestLogTellsVotersThatRefuseFromGoneOnes(t *testing.T) {
+	c := qt.New(t)
+	core, now := startPreVote(c, 3)
+	rejectPreVote(c, core, now, "b", DurableState{HardState: HardState{Term: 3}, Entries: []Entry{{Term: 3, Index: 1}}})
+	c.Assert(core.ballot(), qt.DeepEquals, Ballot{
+		Kind: MsgPreVote, Granted: []ReplicaID{"a"}, Refused: []ReplicaID{"b"}, Unanswered: []ReplicaID{"x"},
+	})
+	c.Assert(core.term, qt.Equals, uint64(3))
+}
+
 // TestLeaderThatCommitsSaysSo guards against logs in which a leader that never acted looks
 // like one that did.
 func TestLeaderThatCommitsSaysSo(t *testing.T) {
--- a/root/control/consensus/coldstart.go
+++ b/root/control/consensus/coldstart.go
@@ -72,6 +72,7 @@
 // other's leaders.
 func (c *Core) receiveColdPreVote(m Message) {
 	if !c.cold.awaitingFirstLeader && c.refusesVotes() {
+		c.rejectPreVote(m)
 		return
 	}
 	c.cold.grantedTo, c.cold.grantedTerm = m.From, m.Term
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -106,21 +106,23 @@
 // receivePreVote replies to a pre-vote request. Unless it belongs to a cold start,
 // no state changes.
 func (c *Core) receivePreVote(m Message) {
-	reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
-	if m.Term <= c.term || !c.isUpToDate(m) {
-		reply.Reject, reply.Term = true, c.term
-		c.send(c.withLastEntry(reply))
-		return
-	}
-	if m.ColdStart {
+	switch {
+	case m.Term <= c.term || !c.isUpToDate(m):
+		c.rejectPreVote(m)
+	case m.ColdStart:
 		c.receiveColdPreVote(m)
-		return
-	}
-	if !c.refusesVotes() {
-		c.send(reply)
+	case c.refusesVotes():
+		c.rejectPreVote(m)
+	default:
+		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
 	}
 }
 
+// rejectPreVote tells the candidate that this replica answers, and its term and last entry.
+func (c *Core) rejectPreVote(m Message) {
+	c.send(c.withLastEntry(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true}))
+}
+
 // receiveVote replies to a vote request. While this replica refuses votes, it ignores
 // requests of a later term, and does not adopt that term, unless they complete a
 // leadership transfer or a cold-start pre-vote that it granted.
