--- /dev/null
+++ b/root/control/machine/hung_disk_test.go
@@ -0,0 +1,81 @@
+package machine_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+const (
+	// hangTime is how long a disk hangs, and electionBound the time in which the other
+	// replicas must elect a leader that commits.
+	hangTime      = 12 * time.Second
+	electionBound = 3 * time.Second
+	hungDiskSeeds = 100
+)
+
+// followerWithHungDisk makes the disk of a random follower hang.
+func (sim *openSimulation) followerWithHungDisk() (leader, hung *node) {
+	leader = sim.waitForLiveLeader()
+	followers := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica || n.down })
+	hung = followers[sim.rng.IntN(len(followers))]
+	hung.diskFullUntil = sim.now.Add(hangTime)
+	return leader, hung
+}
+
+// checkNextLeader checks that a leader commits within electionBound, and that it still leads
+// once the disk works again.
+func (sim *openSimulation) checkNextLeader(c *qt.C, seed uint64, hung *node) {
+	leads := func(n *node) bool { return !n.down && n.replica && n.m.Leads() }
+	for until := sim.now.Add(electionBound); !slices.ContainsFunc(sim.nodes, leads) && sim.now.Before(until); {
+		sim.advance()
+	}
+	i := slices.IndexFunc(sim.nodes, leads)
+	if !c.Check(i >= 0, qt.IsTrue, qt.Commentf("seed %d: no leader within %v", seed, electionBound)) {
+		return
+	}
+	sim.runFor(hung.diskFullUntil.Sub(sim.now) + time.Second)
+	c.Check(sim.nodes[i].m.Leads(), qt.IsTrue, qt.Commentf("seed %d: the leader lost its leadership", seed))
+	c.Assert(sim.violation, qt.Equals, "")
+}
+
+// TestHungDiskDoesNotHoldUpElections guards against a replica whose disk hangs and that
+// keeps the others from electing a leader: it wins each pre-vote, never sends a request for
+// votes, and moves to a later term each time.
+func TestHungDiskDoesNotHoldUpElections(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= hungDiskSeeds; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.runFor(rejoinTime)
+		leader, hung := sim.followerWithHungDisk()
+		leader.crash()
+		sim.checkNextLeader(c, seed, hung)
+	}
+}
+
+// TestHungDiskDoesNotHoldUpAColdStart is like the test above, for a core of three whose
+// processes were all killed.
+func TestHungDiskDoesNotHoldUpAColdStart(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= hungDiskSeeds; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		for _, n := range sim.nodes[replicas+entryOnlyNodes:] {
+			n.crash()
+		}
+		sim.runFor(2 * sim.waitForLiveLeader().m.Timing().ReplicaRemoveAfter)
+		c.Assert(sim.waitForLiveLeader().m.Members().Voters, qt.HasLen, replicas)
+		_, hung := sim.followerWithHungDisk()
+		for _, n := range sim.nodes[:replicas] {
+			n.crash()
+		}
+		sim.runFor(500 * time.Millisecond)
+		for _, n := range sim.nodes[:replicas] {
+			n.start()
+		}
+		sim.checkNextLeader(c, seed, hung)
+	}
+}
