--- a/root/control/consensus/coldstart.go
+++ b/root/control/consensus/coldstart.go
@@ -72,7 +72,7 @@
 // other's leaders.
 func (c *Core) receiveColdPreVote(m Message) {
 	if !c.cold.awaitingFirstLeader && c.refusesVotes() {
-		c.rejectPreVote(m)
+		c.send(c.preVoteRejection(m))
 		return
 	}
 	c.cold.grantedTo, c.cold.grantedTerm = m.From, m.Term
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -229,7 +229,7 @@
 	}
 	c.resetElectionTimer()
 	switch {
-	case !c.promotable():
+	case !c.promotable() || c.awaitsOwnVote():
 	case c.mayStartCold():
 		c.startColdRound()
 	default:
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -88,6 +88,11 @@
 	return len(voters) > 0 && granted >= c.rules.quorum(len(voters))
 }
 
+// awaitsOwnVote reports whether this replica is a candidate that can't ask for votes yet,
+// because its own vote is not durable. It must not move to yet another term: each one that
+// it reaches before the others is one in which they reject each other.
+func (c *Core) awaitsOwnVote() bool { return c.role == candidate && !c.votes[c.cfg.ID] }
+
 // refusesVotes reports whether a leader, possibly this replica, may hold a lease
 // based on an acknowledgement of this replica.
 func (c *Core) refusesVotes() bool {
@@ -107,20 +112,24 @@
 // no state changes.
 func (c *Core) receivePreVote(m Message) {
 	switch {
-	case m.Term <= c.term || !c.isUpToDate(m):
-		c.rejectPreVote(m)
+	case m.Term <= c.term:
+		// The candidate gives up its round for a later term. One that is not durable must not
+		// cost it that: this replica may be a candidate whose disk hangs.
+		c.sendAfterWrite(c.preVoteRejection(m))
+	case !c.isUpToDate(m):
+		c.send(c.preVoteRejection(m))
 	case m.ColdStart:
 		c.receiveColdPreVote(m)
 	case c.refusesVotes():
-		c.rejectPreVote(m)
+		c.send(c.preVoteRejection(m))
 	default:
 		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
 	}
 }
 
-// rejectPreVote tells the candidate that this replica answers, and its term and last entry.
-func (c *Core) rejectPreVote(m Message) {
-	c.send(c.withLastEntry(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true}))
+// preVoteRejection tells the candidate that this replica answers, and its term and last entry.
+func (c *Core) preVoteRejection(m Message) Message {
+	return c.withLastEntry(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
 }
 
 // receiveVote replies to a vote request. While this replica refuses votes, it ignores
