--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -173,6 +173,12 @@
 	case machine.RoutesRead:
 		l.log.Info("routes read", "for", e.Proposer, "version", e.Version, "index", e.Index, "term", e.Term,
 			"waited_ms", e.Waited.Milliseconds())
+	case machine.LeaderLost:
+		l.log.Info("no leader renews the view", "term", e.Term, "seq", e.Seq, "routes", e.RoutesVersion,
+			"silence_ms", e.Silence.Milliseconds(), "asking", e.Asking)
+	case machine.LeaderFound:
+		l.log.Info("a leader renews the view again", "leader", e.Leader, "term", e.Term, "seq", e.Seq, "routes", e.RoutesVersion,
+			"silence_ms", e.Silence.Milliseconds(), "asked", e.Asked)
 	case machine.Halt:
 		l.halt(e.Err)
 	}
--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -37,6 +37,7 @@
 	// trafficAt is when traffic arrived.
 	trafficAt time.Time
 	segments  segmentReports
+	contact   leaderContact
 	state     fleet.State
 	stopped   bool
 }
@@ -49,6 +50,7 @@
 func newLeaseClient(m *Machine) *leaseClient {
 	c := &leaseClient{m: m, announcements: map[string]announcement{}, nextRenew: m.now, current: &view.View{LeaseOptional: m.cfg.LeaseOptional}}
 	c.segments.client = c
+	c.contact = leaderContact{heardAt: m.now, asked: map[string]bool{}}
 	return c
 }
 
@@ -119,6 +121,7 @@
 	if !c.m.now.Before(c.nextRenew) {
 		c.renew()
 	}
+	c.checkContact()
 }
 
 func (c *leaseClient) nextWake() time.Time {
@@ -139,6 +142,7 @@
 		c.renewPending = true
 		c.renewDeadline = c.m.now.Add(t.RenewTimeout)
 	}
+	c.noteAsked()
 	c.m.send(c.leader, c.renewMessage())
 }
 
@@ -276,6 +280,7 @@
 		return
 	}
 	c.leader = from
+	c.noteGrant()
 	c.updateReported(g)
 	applied := g.Update == nil || c.applyUpdate(g.Update)
 	if g.Lease == 0 {
--- a/root/control/machine/node_test.go
+++ b/root/control/machine/node_test.go
@@ -150,6 +150,10 @@
 		n.encoding = &e
 	case machine.IssueOrder:
 		n.issue(e)
+	case machine.LeaderLost, machine.LeaderFound:
+		if sim.onContact != nil {
+			sim.onContact(n, e)
+		}
 	case machine.Halt:
 		sim.fail("%s halted: %v", n.id, e.Err)
 	}
--- a/root/control/machine/simulation_test.go
+++ b/root/control/machine/simulation_test.go
@@ -38,6 +38,8 @@
 	dropGrants bool
 	// onAnswer is called for every answer if it is set.
 	onAnswer func(*node, machine.Answer)
+	// onContact is called for every LeaderLost and LeaderFound if it is set.
+	onContact func(*node, machine.Effect)
 	// onSend is called for every message if it is set.
 	onSend func(from, to string, msg machine.Message)
 }
