--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -14,7 +14,8 @@
 	ViewLease time.Duration
 	// RenewInterval is the time between Renews in normal operation.
 	RenewInterval time.Duration
-	// RenewTimeout is how long to wait for a Grant before asking another replica.
+	// RenewTimeout is how long to wait for a Grant of a leader that has been heard before
+	// asking another replica; see searchTimeout for the others.
 	RenewTimeout time.Duration
 	// LeaderRetryDelay is the wait before asking another replica when one has
 	// answered that it knows no leader.
--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -27,6 +27,7 @@
 	// asks the next replica.
 	renewPending  bool
 	renewDeadline time.Time
+	search        leaderSearch
 	announcements map[string]announcement
 	// reportedBefore is the send time, since process start, of the last Renew that
 	// the leader of reportedTerm has answered. That leader knows everything that was
@@ -50,6 +51,7 @@
 func newLeaseClient(m *Machine) *leaseClient {
 	c := &leaseClient{m: m, announcements: map[string]announcement{}, nextRenew: m.now, current: &view.View{LeaseOptional: m.cfg.LeaseOptional}}
 	c.segments.client = c
+	c.search = leaderSearch{askedAt: map[string]time.Time{}, silentAt: map[string]time.Time{}}
 	c.contact = leaderContact{heardAt: m.now, asked: map[string]bool{}}
 	return c
 }
@@ -114,10 +116,9 @@
 
 func (c *leaseClient) tick() {
 	if c.renewPending && !c.m.now.Before(c.renewDeadline) {
-		c.renewPending = false
-		c.tryNextReplica()
-		c.nextRenew = c.m.now
+		c.giveUp()
 	}
+	c.followCore()
 	if !c.m.now.Before(c.nextRenew) {
 		c.renew()
 	}
@@ -140,7 +141,7 @@
 	// The timeout runs from the first unanswered Renew.
 	if !c.renewPending {
 		c.renewPending = true
-		c.renewDeadline = c.m.now.Add(t.RenewTimeout)
+		c.renewDeadline = c.m.now.Add(c.answerTimeout())
 	}
 	c.noteAsked()
 	c.m.send(c.leader, c.renewMessage())
@@ -227,15 +228,6 @@
 // time.
 func (c *leaseClient) confirmed(at time.Time) bool { return at.Sub(c.m.started) < c.reportedBefore }
 
-func (c *leaseClient) tryNextReplica() {
-	replicas := c.replicas()
-	if len(replicas) == 0 {
-		return
-	}
-	i := slices.Index(replicas, c.leader)
-	c.leader = replicas[(i+1)%len(replicas)]
-}
-
 // replicas returns the VMs that may lead, those in the settings and those in the view, in
 // an order of this VM's own: VMs that lose a leader together ask different replicas for
 // the next one.
@@ -255,31 +247,13 @@
 	return xxhash.Sum64String(c.m.cfg.Self.ID + "\x00" + replica)
 }
 
-func (c *leaseClient) onNotLeader(from string, msg NotLeader) {
-	if from != c.leader {
-		return
-	}
-	if msg.Leader != "" && msg.Leader != c.leader {
-		c.leader = msg.Leader
-		c.renewPending = false
-		c.nextRenew = c.m.now
-		return
-	}
-	// The replica names no other leader, because it knows none or can't act as one.
-	// The next replica is asked after LeaderRetryDelay, or at renewDeadline if that is
-	// earlier. If no Renew is pending, renewDeadline is that of the previous one and
-	// may have passed.
-	c.renewPending = true
-	c.renewDeadline = earlier(c.renewDeadline, c.m.now.Add(c.m.cfg.Timing.LeaderRetryDelay))
-}
-
 // onGrant applies a lease, a newer view, or both. A Grant of an older term is
 // ignored.
 func (c *leaseClient) onGrant(from string, g Grant) {
 	if g.Term < c.current.Term && c.m.enforces(ruleMonotonicViews) {
 		return
 	}
-	c.leader = from
+	c.onLeaderHeard(from)
 	c.noteGrant()
 	c.updateReported(g)
 	applied := g.Update == nil || c.applyUpdate(g.Update)
