--- a/root/control/machine/simulation_test.go
+++ b/root/control/machine/simulation_test.go
@@ -40,6 +40,8 @@
 	dropRenewsOf *node
 	// onAnswer is called for every answer if it is set.
 	onAnswer func(*node, machine.Answer)
+	// onContact is called for every LeaderLost and LeaderFound if it is set.
+	onContact func(*node, machine.Effect)
 	// onSend is called for every message if it is set.
 	onSend func(from, to string, msg machine.Message)
 }
