--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -108,8 +108,7 @@
 	return m.LogIndex >= c.log.lastIndex()
 }
 
-// receivePreVote replies to a pre-vote request. Unless it belongs to a cold start,
-// no state changes.
+// receivePreVote replies to a pre-vote request. Granting it may end a round of this replica.
 func (c *Core) receivePreVote(m Message) {
 	switch {
 	case m.Term <= c.term:
@@ -124,6 +123,11 @@
 		c.send(c.preVoteRejection(m))
 	default:
 		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
+		if c.role == preCandidate && m.From < c.cfg.ID {
+			// Of two rounds at the same time one goes on, since two elections would split the
+			// votes. The other candidate's log is at least as up to date as this one's.
+			c.becomeFollower(c.term, "")
+		}
 	}
 }
 
