--- a/root/control/consensus/ballot_test.go
+++ b/root/control/consensus/ballot_test.go
@@ -45,7 +45,7 @@
 	c := qt.New(t)
 	core, now := startPreVote(c, 3)
 	rejectPreVote(c, core, now, "b", DurableState{HardState: HardState{Term: 3}, Entries: []Entry{{Term: 3, Index: 1}, {Term: 3, Index: 2}}})
-	now = core.NextWake()
+	now = core.startTime.Add(core.electionDeadline)
 	core.Tick(now)
 	changes := core.Output().Changes
 	c.Assert(changes, qt.HasLen, 1)
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -73,6 +73,10 @@
 	retainedEntries uint64
 
 	electionDeadline time.Duration
+	// request is the latest request for pre-votes or votes, and nextRequest is when the
+	// voters that have not granted it are asked again.
+	request     Message
+	nextRequest time.Duration
 	// leaderHeardAt is when a leader was last heard from, or when this replica last led with
 	// a quorum; 0 before that.
 	leaderHeardAt time.Duration
@@ -225,6 +229,7 @@
 		return
 	}
 	if c.now < c.electionDeadline {
+		c.repeatRequest()
 		return
 	}
 	c.resetElectionTimer()
@@ -246,6 +251,9 @@
 	if c.role == leader {
 		return c.startTime.Add(c.nextLeaderWake())
 	}
+	if c.awaitsVotes() {
+		return c.startTime.Add(min(c.electionDeadline, c.nextRequest))
+	}
 	return c.startTime.Add(c.electionDeadline)
 }
 
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -63,6 +63,7 @@
 
 func (c *Core) requestVotes(m Message) {
 	m.LogIndex, m.LogTerm = c.log.lastIndex(), c.log.lastTerm()
+	c.request, c.nextRequest = m, c.now+c.cfg.HeartbeatInterval
 	for _, id := range c.members().Voters {
 		if id == c.cfg.ID {
 			continue
@@ -76,6 +77,27 @@
 	}
 }
 
+// awaitsVotes reports whether this replica has asked for pre-votes or votes in a round that
+// goes on.
+func (c *Core) awaitsVotes() bool {
+	return c.role == preCandidate || c.role == candidate && !c.awaitsOwnVote()
+}
+
+// repeatRequest asks the voters that have not granted the request again once it is due: a
+// lost request or reply would cost the round if all other voters that are up are needed.
+func (c *Core) repeatRequest() {
+	if !c.awaitsVotes() || c.now < c.nextRequest {
+		return
+	}
+	c.nextRequest = c.now + c.cfg.HeartbeatInterval
+	m := c.request
+	for _, id := range c.members().Voters {
+		if m.To = id; !c.votes[id] && id != c.cfg.ID {
+			c.send(m)
+		}
+	}
+}
+
 // wonVotes reports whether a quorum of the current voters granted its vote.
 func (c *Core) wonVotes() bool {
 	voters := c.members().Voters
@@ -180,6 +202,10 @@
 		return
 	}
 	c.votes[m.From] = true
+	if m.From == c.cfg.ID {
+		// The requests of the others have waited for this vote.
+		c.nextRequest = c.now + c.cfg.HeartbeatInterval
+	}
 	if c.wonVotes() {
 		c.becomeLeader()
 	}
--- a/root/control/consensus/election_test.go
+++ b/root/control/consensus/election_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
@@ -26,3 +27,31 @@
 		}
 	})
 }
+
+// TestLostVoteRequestsAreRepeated guards against an election that fails because one message
+// was lost, although all voters that are needed are up.
+func TestLostVoteRequestsAreRepeated(t *testing.T) {
+	c := qt.New(t)
+	core, now := startPreVote(c, 3)
+	grant := func(kind MessageKind, from ReplicaID, term uint64) []Message {
+		core.Receive(now, Message{Kind: kind, From: from, To: "a", Term: term})
+		return completeWrites(core, now)
+	}
+	repeated := func() []ReplicaID {
+		now = core.NextWake()
+		core.Tick(now)
+		var asked []ReplicaID
+		for _, m := range core.Output().Messages {
+			asked = append(asked, m.To)
+		}
+		return asked
+	}
+	c.Assert(repeated(), qt.DeepEquals, []ReplicaID{"b", "x"})
+	c.Assert(core.role, qt.Equals, preCandidate)
+	grant(MsgPreVoteReply, "b", 4)
+	c.Assert(core.role, qt.Equals, candidate)
+	c.Assert(repeated(), qt.DeepEquals, []ReplicaID{"b", "x"})
+	c.Assert(core.term, qt.Equals, uint64(4))
+	grant(MsgVoteReply, "x", 4)
+	c.Assert(core.role, qt.Equals, leader)
+}
