--- a/root/control/machine/config.go
+++ b/root/control/machine/config.go
@@ -45,8 +45,9 @@
 	// announcements before it treats the fleet as fully known.
 	FleetDiscoveryTime time.Duration
 	// EntryConfirmTimeout bounds the time from a proposal of routes or of the departure of a
-	// server until its answer for which the answer waits for entries. It is below the
-	// timeout of those who ask.
+	// server until its answer for which the answer waits for entries. It is below
+	// ProposeRetryInterval, after which the proposal would be committed again if its answer
+	// is on the way.
 	EntryConfirmTimeout time.Duration
 	// ReplicaRemoveAfter is the silence after which a replica is removed from an
 	// open membership. One that stopped gracefully is removed at the next sweep. At
@@ -82,7 +83,7 @@
 		MaxClockDrift:         0.01,
 		// Backend servers announce themselves once a second.
 		FleetDiscoveryTime:  2500 * time.Millisecond,
-		EntryConfirmTimeout: 400 * time.Millisecond,
+		EntryConfirmTimeout: 300 * time.Millisecond,
 		ReplicaRemoveAfter:  12 * time.Second,
 		// A new replica has to vote a few seconds after it started, because the next VM may
 		// be lost then.
--- /dev/null
+++ b/root/control/machine/entry_ack_bounds_test.go
@@ -0,0 +1,97 @@
+package machine_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+)
+
+// logGrowth returns by how many entries the log of the leader grows while one version is
+// acknowledged and for a second afterwards.
+func (sim *openSimulation) logGrowth(leader, at *node) uint64 {
+	before := leader.m.LastIndex()
+	sim.acknowledgeRoutes(at)
+	sim.runFor(time.Second)
+	return leader.m.LastIndex() - before
+}
+
+// TestAwaitedEntryCausesNoSecondLogEntry guards against a proposal that is committed again,
+// because its answer leaves when the proposer sends it again.
+func TestAwaitedEntryCausesNoSecondLogEntry(t *testing.T) {
+	c := qt.New(t)
+	twice, tried := 0, 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		sim.trackAcks()
+		sim.runFor(rejoinTime)
+		leader := sim.waitForLiveLeader()
+		others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica })
+		entry := sim.nodes[slices.IndexFunc(sim.nodes, isEntryOnly)]
+		sim.losePower(entry)
+		tried++
+		if sim.logGrowth(leader, others[0]) > 1 {
+			twice++
+		}
+	}
+	c.Check(twice, qt.Equals, 0, qt.Commentf("of %d changes", tried))
+}
+
+// TestLargeFleetCausesNoSecondLogEntry is the same without a lost entry.
+func TestLargeFleetCausesNoSecondLogEntry(t *testing.T) {
+	c := qt.New(t)
+	twice, tried := 0, 0
+	for seed := uint64(1); seed <= 3; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		for range 100 {
+			sim.addNode(false).start()
+		}
+		sim.trackAcks()
+		sim.runFor(rejoinTime)
+		leader := sim.waitForLiveLeader()
+		others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica })
+		for range 4 {
+			tried++
+			if sim.logGrowth(leader, others[0]) > 1 {
+				twice++
+			}
+			sim.runFor(time.Duration(sim.rng.Int64N(int64(500 * time.Millisecond))))
+		}
+	}
+	c.Check(twice, qt.Equals, 0, qt.Commentf("of %d changes", tried))
+}
+
+// TestSlowCommitStillAwaitsEntries guards against changes that are acknowledged without an
+// entry, because the commit took as long as the answer may wait.
+func TestSlowCommitStillAwaitsEntries(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		sim.trackAcks()
+		sim.runFor(rejoinTime)
+		leader := sim.waitForLiveLeader()
+		others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica })
+		sim.acknowledgeRoutes(leader)
+		sim.runFor(time.Second)
+		for _, n := range sim.nodes {
+			n.diskFullUntil = sim.now.Add(420 * time.Millisecond)
+		}
+		sim.acknowledgeRoutes(leader)
+		sim.losePower(leader)
+		sim.losePower(others[1])
+		sim.losePower(others[2])
+		sim.runFor(5 * time.Second)
+		for _, n := range sim.nodes {
+			if isEntryOnly(n) && n.view.Routes.Version < sim.ackedVersion {
+				sim.fail("%s has version %d, but version %d was acknowledged", n.id, n.view.Routes.Version, sim.ackedVersion)
+			}
+		}
+		c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -13,6 +13,8 @@
 	// to confirm at once what an answer waits for. In a larger fleet their next Renew
 	// does, since hundreds of them together delay the heartbeats of consensus.
 	maxPromptConfirmations = 64
+	// minConfirmTime is how long an answer waits for entries after a commit that took long.
+	minConfirmTime = 100 * time.Millisecond
 	// maxReportedEntries bounds the entries that one log line names.
 	maxReportedEntries = 8
 )
@@ -84,7 +86,7 @@
 func (a *entryAcks) add(ack *entryAck) {
 	ack.lacking = a.awaited()
 	ack.entries = len(ack.lacking)
-	ack.until = ack.proposer.receivedAt.Add(a.l.m.cfg.Timing.EntryConfirmTimeout)
+	ack.until = latest(ack.proposer.receivedAt.Add(a.l.m.cfg.Timing.EntryConfirmTimeout), a.l.m.now.Add(minConfirmTime))
 	for id := range ack.lacking {
 		if ack.heldBy(a.l.holders[id]) {
 			delete(ack.lacking, id)
@@ -106,20 +108,31 @@
 // one.
 func (a *entryAcks) awaited() map[string]bool {
 	l, out := a.l, map[string]bool{}
-	contact := 2 * l.m.cfg.Timing.RenewInterval
 	for id, h := range l.holders {
-		if h.vm.Address != "" && l.m.now.Sub(l.renewedAt(h)) < contact {
+		if h.vm.Address != "" && l.m.now.Sub(l.renewedAt(h)) < a.contactTime() {
 			out[id] = true
 		}
 	}
-	if l.m.now.Sub(l.establishedAt) < contact {
-		for id := range a.expected {
-			out[id] = true
-		}
+	if l.m.now.Sub(l.establishedAt) >= a.contactTime() {
+		return out
+	}
+	for id := range a.expected {
+		out[id] = true
 	}
 	return out
 }
 
+// contactTime is the time after its last Renew, or after a change of leader, for which an
+// entry is awaited.
+func (a *entryAcks) contactTime() time.Duration { return 2 * a.l.m.cfg.Timing.RenewInterval }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (ack *entryAck) heldBy(h *leaseHolder) bool {
 	return h != nil && h.confirmed.Routes >= ack.routes && h.confirmed.Seq >= ack.seq
 }
