--- a/root/control/machine/entry_ack_bounds_test.go
+++ b/root/control/machine/entry_ack_bounds_test.go
@@ -66,6 +66,43 @@
 	c.Check(twice, qt.Equals, 0, qt.Commentf("of %d changes", tried))
 }
 
+// TestRestartedLeaderAwaitsEntries guards against changes that a leader without a view
+// acknowledges before it knows any entry.
+func TestRestartedLeaderAwaitsEntries(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		sim.trackAcks()
+		sim.runFor(rejoinTime)
+		sim.acknowledgeRoutes(sim.waitForLiveLeader())
+		sim.runFor(time.Second)
+		for _, n := range sim.nodes {
+			if n.replica {
+				sim.losePower(n)
+			}
+		}
+		sim.runFor(500 * time.Millisecond)
+		for _, n := range sim.nodes {
+			if n.replica {
+				n.start()
+			}
+		}
+		leader := sim.waitForLiveLeader()
+		sim.acknowledgeRoutes(leader)
+		lacking := 0
+		for _, n := range sim.nodes {
+			if isEntryOnly(n) && n.view.Routes.Version < sim.ackedVersion {
+				lacking++
+			}
+		}
+		if lacking > 0 {
+			sim.fail("%d entries lack version %d when it is acknowledged", lacking, sim.ackedVersion)
+		}
+		c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestSlowCommitStillAwaitsEntries guards against changes that are acknowledged without an
 // entry, because the commit took as long as the answer may wait.
 func TestSlowCommitStillAwaitsEntries(t *testing.T) {
--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -15,6 +15,8 @@
 	maxPromptConfirmations = 64
 	// minConfirmTime is how long an answer waits for entries after a commit that took long.
 	minConfirmTime = 100 * time.Millisecond
+	// unknownEntries stands for the entries that a leader without a view does not know yet.
+	unknownEntries = "unknown"
 	// maxReportedEntries bounds the entries that one log line names.
 	maxReportedEntries = 8
 )
@@ -87,6 +89,9 @@
 	ack.lacking = a.awaited()
 	ack.entries = len(ack.lacking)
 	ack.until = latest(ack.proposer.receivedAt.Add(a.l.m.cfg.Timing.EntryConfirmTimeout), a.l.m.now.Add(minConfirmTime))
+	if ack.lacking[unknownEntries] {
+		ack.until = latest(ack.until, a.l.establishedAt.Add(a.contactTime()))
+	}
 	for id := range ack.lacking {
 		if ack.heldBy(a.l.holders[id]) {
 			delete(ack.lacking, id)
@@ -105,7 +110,8 @@
 }
 
 // awaited returns the entries that are in contact with this leader, or were with the last
-// one.
+// one. A leader that has just started without a view awaits unknownEntries, which get the
+// current view with their first Grant.
 func (a *entryAcks) awaited() map[string]bool {
 	l, out := a.l, map[string]bool{}
 	for id, h := range l.holders {
@@ -119,6 +125,9 @@
 	for id := range a.expected {
 		out[id] = true
 	}
+	if !l.partialUntil.IsZero() {
+		out[unknownEntries] = true
+	}
 	return out
 }
 
