--- a/root/control/machine/entry_ack_bounds_test.go
+++ b/root/control/machine/entry_ack_bounds_test.go
@@ -7,7 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
 )
 
 // logGrowth returns by how many entries the log of the leader grows while one version is
@@ -66,6 +68,38 @@
 	c.Check(twice, qt.Equals, 0, qt.Commentf("of %d changes", tried))
 }
 
+// TestLostLeaderLeavesNoEntryWithADrainedServer guards against entries that keep sending
+// requests to a server whose drain an operator has been told is set.
+func TestLostLeaderLeavesNoEntryWithADrainedServer(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 5; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.lossless = true
+		sim.announceState(sim.nodes[0], 1, fleet.Active)
+		sim.runFor(2 * time.Second)
+		c.Assert(sim.allShow(fleet.Active), qt.IsTrue)
+		leader := sim.waitForLiveLeader()
+		others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == leader || !n.replica })
+		at, acked := others[0], false
+		sim.onAnswer = func(n *node, a machine.Answer) { acked = acked || n == at && a.Result.Err == nil }
+		at.nextID++
+		at.step(machine.Submit{ID: at.nextID, Command: replicated.SetDrain{ID: engineID, Draining: true, Operator: "o"}})
+		for !acked {
+			sim.advance()
+		}
+		sim.losePower(leader)
+		sim.losePower(others[1])
+		sim.losePower(others[2])
+		sim.runFor(5 * time.Second)
+		for _, n := range sim.nodes {
+			if isEntryOnly(n) && slices.ContainsFunc(n.view.Servers, isActiveEngine) {
+				sim.fail("%s shows the engine as active", n.id)
+			}
+		}
+		c.Check(sim.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestRestartedLeaderAwaitsEntries guards against changes that a leader without a view
 // acknowledges before it knows any entry.
 func TestRestartedLeaderAwaitsEntries(t *testing.T) {
--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -75,6 +75,17 @@
 	a.request()
 }
 
+// addFleetChange adds an answer to p that waits until the entries have a view of the present
+// fleet.
+func (a *entryAcks) addFleetChange(p proposer, result replicated.Result) {
+	seq := a.l.seq()
+	if a.l.pushes.pending {
+		seq++
+	}
+	a.add(&entryAck{proposer: p, result: result, seq: seq})
+	a.request()
+}
+
 // departureSeq returns the sequence of the first view in which a server departs or is gone.
 func (a *entryAcks) departureSeq(id string) uint64 {
 	servers := a.l.views.Current().Servers
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -101,8 +101,8 @@
 }
 
 // onApplied answers the proposer of a committed log entry. A table change is answered
-// only once it has been applied everywhere, and routes or the departure of a server once the
-// entries have confirmed them.
+// only once it has been applied everywhere, and routes, the departure of a server or a drain once
+// the entries have confirmed them.
 func (l *leader) onApplied(e consensus.Entry, cmd replicated.Command, result replicated.Result) {
 	p, ours := l.proposers[e.Index]
 	delete(l.proposers, e.Index)
@@ -115,7 +115,13 @@
 	case replicated.ReplaceRoutes:
 		l.onRoutes(p, ours, cmd.Document.Version, result)
 		return
-	case replicated.SetDrain, replicated.SetFencing, replicated.QuarantineSegments:
+	case replicated.SetDrain:
+		l.onFleetChange()
+		if ours && result.Err == nil {
+			l.acks.addFleetChange(p, result)
+			return
+		}
+	case replicated.SetFencing, replicated.QuarantineSegments:
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
