--- a/root/control/machine/replacement_series_test.go
+++ b/root/control/machine/replacement_series_test.go
@@ -49,7 +49,8 @@
 	// waiting holds the replicas that are to become voters, from when they are up and
 	// connected.
 	waiting map[*node]join
-	// joinTimes are the times that replicas took to become voters.
+	// joinTimes are the times that replicas took to become voters, except after a loss of
+	// power and of a disk at once.
 	joinTimes []time.Duration
 	// live holds the replicas that were up at past moments, one a changeInterval.
 	live       [][]*node
@@ -99,7 +100,9 @@
 		switch {
 		case !waits:
 		case leader != nil && slices.Contains(leader.m.Members().Voters, n.identity):
-			s.joinTimes = append(s.joinTimes, s.now.Sub(j.since))
+			if j.limit == catchUpTime {
+				s.joinTimes = append(s.joinTimes, s.now.Sub(j.since))
+			}
 			delete(s.waiting, n)
 		case s.now.Sub(j.since) > j.limit:
 			s.fail("%s is not a voter after %s", n.id, j.limit)
--- /dev/null
+++ b/root/control/machine/returned_entry_test.go
@@ -0,0 +1,37 @@
+package machine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// contactTime is the time after which a connected process has to obey what was acknowledged.
+const contactTime = 3 * time.Second
+
+// TestEntryFindsTheLeaderAfterReplacements guards against an entry that was cut off while
+// replicas were replaced, and then asks those that are gone for the leader, one after the
+// other, while it serves by older routes.
+func TestEntryFindsTheLeaderAfterReplacements(t *testing.T) {
+	const replacedBefore, replacedMeanwhile = 2, 3
+	for seed := uint64(1); seed <= 10; seed++ {
+		c := qt.New(t)
+		s := newSeries(seed, 5)
+		entry := s.nodes[replicas]
+		for i := range replacedBefore + replacedMeanwhile {
+			entry.isolated = i >= replacedBefore
+			s.waitForLiveLeader()
+			s.replace()
+		}
+		c.Assert(s.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+		acked := s.ackedVersion
+		entry.isolated = false
+		s.run(contactTime)
+		have := uint64(0)
+		if entry.view.Routes != nil {
+			have = entry.view.Routes.Version
+		}
+		c.Check(have >= acked, qt.IsTrue, qt.Commentf("seed %d: the entry has version %d, %d was acknowledged", seed, have, acked))
+	}
+}
