--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -73,7 +73,8 @@
 	retainedEntries uint64
 
 	electionDeadline time.Duration
-	// leaderHeardAt is when a leader was last heard from; 0 before the first one.
+	// leaderHeardAt is when a leader was last heard from, or when this replica last led with
+	// a quorum; 0 before that.
 	leaderHeardAt time.Duration
 	// refuseVotesUntil is the time before which the replica grants neither pre-votes nor
 	// votes of a later term, because a leader may hold a lease based on an
@@ -81,6 +82,7 @@
 	// exceptions; see Message.Transfer and coldStart.
 	refuseVotesUntil time.Duration
 	cold             coldStart
+	answers          answers
 
 	leaderState *leaderState
 	writes      writeTracker
@@ -227,7 +229,7 @@
 	}
 	c.resetElectionTimer()
 	switch {
-	case !c.promotable():
+	case !c.promotable() || c.awaitsOwnVote():
 	case c.mayStartCold():
 		c.startColdRound()
 	default:
