--- a/root/control/consensus/coldstart.go
+++ b/root/control/consensus/coldstart.go
@@ -54,6 +54,8 @@
 	c.cold.round++
 	c.cold.roundStartedAt = c.now
 	c.cold.granted = map[ReplicaID]bool{c.cfg.ID: true}
+	c.answers.begin(MsgPreVote)
+	c.answers.replies[c.cfg.ID] = grantedVote
 	for _, id := range c.members().Voters {
 		if id == c.cfg.ID {
 			continue
@@ -70,6 +72,7 @@
 // other's leaders.
 func (c *Core) receiveColdPreVote(m Message) {
 	if !c.cold.awaitingFirstLeader && c.refusesVotes() {
+		c.send(c.preVoteRejection(m))
 		return
 	}
 	c.cold.grantedTo, c.cold.grantedTerm = m.From, m.Term
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -19,6 +19,7 @@
 func (c *Core) becomeFollower(term uint64, leaderID ReplicaID) {
 	if c.role == leader {
 		c.refuseVotesUntil = max(c.refuseVotesUntil, c.leaseUntil())
+		c.leaderHeardAt = max(c.leaderState.electedAt, c.quorumAckedAt())
 		c.failReads()
 		c.leaderState = nil
 	}
@@ -36,6 +37,8 @@
 	c.noteChange(LeaderSilent, c.leaderID)
 	c.role, c.leaderID = preCandidate, ""
 	c.votes = map[ReplicaID]bool{c.cfg.ID: true}
+	c.answers.begin(MsgPreVote)
+	c.answers.replies[c.cfg.ID] = grantedVote
 	if c.wonVotes() {
 		c.campaign(Message{})
 		return
@@ -52,6 +55,7 @@
 	c.term, c.vote = c.term+1, c.cfg.ID
 	c.writes.hardStateDirty = true
 	c.votes = map[ReplicaID]bool{}
+	c.answers.begin(MsgVote)
 	c.resetElectionTimer()
 	c.requestVotes(Message{Kind: MsgVote, Term: c.term, Transfer: flags.Transfer, ColdStart: flags.ColdStart})
 	c.sendAfterWrite(Message{Kind: MsgVoteReply, To: c.cfg.ID})
@@ -84,6 +88,11 @@
 	return len(voters) > 0 && granted >= c.rules.quorum(len(voters))
 }
 
+// awaitsOwnVote reports whether this replica is a candidate that can't ask for votes yet,
+// because its own vote is not durable. It must not move to yet another term: each one that
+// it reaches before the others is one in which they reject each other.
+func (c *Core) awaitsOwnVote() bool { return c.role == candidate && !c.votes[c.cfg.ID] }
+
 // refusesVotes reports whether a leader, possibly this replica, may hold a lease
 // based on an acknowledgement of this replica.
 func (c *Core) refusesVotes() bool {
@@ -99,24 +108,34 @@
 	return m.LogIndex >= c.log.lastIndex()
 }
 
-// receivePreVote replies to a pre-vote request. Unless it belongs to a cold start,
-// no state changes.
+// receivePreVote replies to a pre-vote request. Granting it may end a round of this replica.
 func (c *Core) receivePreVote(m Message) {
-	reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
-	if m.Term <= c.term || !c.isUpToDate(m) {
-		reply.Reject, reply.Term = true, c.term
-		c.send(reply)
-		return
-	}
-	if m.ColdStart {
+	switch {
+	case m.Term <= c.term:
+		// The candidate gives up its round for a later term. One that is not durable must not
+		// cost it that: this replica may be a candidate whose disk hangs.
+		c.sendAfterWrite(c.preVoteRejection(m))
+	case !c.isUpToDate(m):
+		c.send(c.preVoteRejection(m))
+	case m.ColdStart:
 		c.receiveColdPreVote(m)
-		return
-	}
-	if !c.refusesVotes() {
-		c.send(reply)
+	case c.refusesVotes():
+		c.send(c.preVoteRejection(m))
+	default:
+		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
+		if c.role == preCandidate && m.From < c.cfg.ID {
+			// Of two rounds at the same time one goes on, since two elections would split the
+			// votes. The other candidate's log is at least as up to date as this one's.
+			c.becomeFollower(c.term, "")
+		}
 	}
 }
 
+// preVoteRejection tells the candidate that this replica answers, and its term and last entry.
+func (c *Core) preVoteRejection(m Message) Message {
+	return c.withLastEntry(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
+}
+
 // receiveVote replies to a vote request. While this replica refuses votes, it ignores
 // requests of a later term, and does not adopt that term, unless they complete a
 // leadership transfer or a cold-start pre-vote that it granted.
@@ -131,7 +150,7 @@
 	canVote := c.vote == "" && c.leaderID == ""
 	if m.Term < c.term || !c.isUpToDate(m) || !(canVote || c.vote == m.From) {
 		reply.Reject = true
-		c.sendAfterWrite(reply)
+		c.sendAfterWrite(c.withLastEntry(reply))
 		return
 	}
 	if c.vote != m.From {
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -166,13 +166,15 @@
 	case machine.History:
 		l.histories.deliver(e.ID, e)
 	case machine.LeadershipChanged:
-		l.log.Info("leadership changed", "reason", e.Change.Reason.String(), "term", e.Change.Term,
-			"peer", string(e.Change.Peer), "silence_ms", e.Change.Silence.Milliseconds())
+		logLeadership(l.log, e.Change)
 	case machine.MembersChanged:
 		l.log.Info("members of the log changed", "voters", e.Members.Voters, "learners", e.Members.Learners, "index", e.Index)
 	case machine.RoutesRead:
 		l.log.Info("routes read", "for", e.Proposer, "version", e.Version, "index", e.Index, "term", e.Term,
 			"waited_ms", e.Waited.Milliseconds())
+	case machine.RoutesAcknowledged:
+		l.log.Info("routes acknowledged", "for", e.Proposer, "version", e.Version, "term", e.Term,
+			"entries", e.Entries, "lacking", e.Lacking, "waited_ms", e.Waited.Milliseconds())
 	case machine.LeaderLost:
 		l.log.Info("no leader renews the view", "term", e.Term, "seq", e.Seq, "routes", e.RoutesVersion,
 			"silence_ms", e.Silence.Milliseconds(), "asking", e.Asking)
