--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -179,6 +179,10 @@
 	if c.role != candidate || m.Reject || m.Term != c.term {
 		return
 	}
+	if m.From == c.cfg.ID {
+		// Only now are the others asked.
+		c.resetElectionTimer()
+	}
 	c.votes[m.From] = true
 	if c.wonVotes() {
 		c.becomeLeader()
--- a/root/control/machine/hung_disk_test.go
+++ b/root/control/machine/hung_disk_test.go
@@ -16,6 +16,11 @@
 	hangTime      = 12 * time.Second
 	electionBound = 3 * time.Second
 	hungDiskSeeds = 100
+	// slowSyncTime is below the shortest election timeout, and recoveryBound the time in
+	// which service must be back after disruptions of several replicas.
+	slowSyncTime  = 500 * time.Millisecond
+	recoveryBound = 12 * time.Second
+	slowDiskSeeds = 20
 )
 
 // followerWithHungDisk makes the disk of a random follower hang.
@@ -79,3 +84,24 @@
 		sim.checkNextLeader(c, seed, hung)
 	}
 }
+
+// TestSlowDisksElectALeader guards against elections that never end on slow disks, since
+// candidates start the next one before the voters have written their votes.
+func TestSlowDisksElectALeader(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= slowDiskSeeds; seed++ {
+		sim := newOpenSimulation(seed, machine.RuleNone)
+		sim.runFor(rejoinTime)
+		sim.lossless = true
+		for _, n := range sim.nodes {
+			n.syncTime = slowSyncTime
+		}
+		sim.runFor(time.Second)
+		sim.waitForLiveLeader().crash()
+		leads := func(n *node) bool { return !n.down && n.replica && n.m.Leads() }
+		for until := sim.now.Add(recoveryBound); !slices.ContainsFunc(sim.nodes, leads) && sim.now.Before(until); {
+			sim.advance()
+		}
+		c.Check(slices.ContainsFunc(sim.nodes, leads), qt.IsTrue, qt.Commentf("seed %d: no leader within %v", seed, recoveryBound))
+	}
+}
