--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -203,7 +203,8 @@
 	}
 	c.votes[m.From] = true
 	if m.From == c.cfg.ID {
-		// The requests of the others have waited for this vote.
+		// The requests to the others have waited for this vote.
+		c.resetElectionTimer()
 		c.nextRequest = c.now + c.cfg.HeartbeatInterval
 	}
 	if c.wonVotes() {
