--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -77,6 +77,9 @@
 	// voters that have not granted it are asked again.
 	request     Message
 	nextRequest time.Duration
+	// gaveUpRound is set once this replica has given up a round for that of another
+	// candidate, until it follows a leader or leads.
+	gaveUpRound bool
 	// leaderHeardAt is when a leader was last heard from, or when this replica last led with
 	// a quorum; 0 before that.
 	leaderHeardAt time.Duration
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -145,9 +145,11 @@
 		c.send(c.preVoteRejection(m))
 	default:
 		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
-		if c.role == preCandidate && m.From < c.cfg.ID {
+		if c.role == preCandidate && m.From < c.cfg.ID && !c.gaveUpRound {
 			// Of two rounds at the same time one goes on, since two elections would split the
-			// votes. The other candidate's log is at least as up to date as this one's.
+			// votes. The other candidate's log is at least as up to date as this one's, but it
+			// may reach fewer voters, so this replica does it once.
+			c.gaveUpRound = true
 			c.becomeFollower(c.term, "")
 		}
 	}
--- a/root/control/consensus/leader.go
+++ b/root/control/consensus/leader.go
@@ -33,6 +33,7 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leaderID, c.votes = leader, c.cfg.ID, nil
 	c.cold.awaitingFirstLeader = false
+	c.gaveUpRound = false
 	c.answers = answers{}
 	c.leaderState = &leaderState{electedAt: c.now, uncommittedBytes: c.bytesAfterCommit(), peers: map[ReplicaID]*peer{}}
 	c.syncPeers()
--- a/root/control/consensus/receive.go
+++ b/root/control/consensus/receive.go
@@ -77,6 +77,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.cold.awaitingFirstLeader = false
+	c.gaveUpRound = false
 	c.leaderHeardAt = c.now
 	c.answers = answers{}
 	c.resetElectionTimer()
