--- a/root/control/loop/announce.go
+++ b/root/control/loop/announce.go
@@ -21,10 +21,11 @@
 }
 
 // Announce passes the announcement of a backend server to the control thread. If the server
-// is draining or leaving, it returns only once that is committed: the server relies on the
-// answer, stops announcing itself and may not be asked again. The error is of kind
-// fault.Unavailable if the control thread did not accept the announcement, and otherwise,
-// for example fault.NoQuorum, says why the departure is not known to be committed.
+// is draining or leaving, it returns only once that is committed and the entries in contact
+// have confirmed it: the server relies on the answer, stops announcing itself and may not be
+// asked again. The error is of kind fault.Unavailable if the control thread did not accept
+// the announcement, and otherwise, for example fault.NoQuorum, says why the departure is not
+// known to be committed.
 func Announce(ctx context.Context, c Control, s fleet.Server) error {
 	if err := post(ctx, c, machine.Announced{Server: s}); err != nil {
 		return err
--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -6,6 +6,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/replicated"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 )
 
 const (
@@ -46,11 +47,13 @@
 	// expected are the entries of the view that this leader started from that have not
 	// renewed with it.
 	expected map[string]bool
+	// startedWithoutView is set if this leader started without a view, and so knows none.
+	startedWithoutView bool
 }
 
-func newEntryAcks(l *leader, previous []fleet.VM) *entryAcks {
-	a := &entryAcks{l: l, expected: map[string]bool{}}
-	for _, vm := range previous {
+func newEntryAcks(l *leader, previous *view.View) *entryAcks {
+	a := &entryAcks{l: l, expected: map[string]bool{}, startedWithoutView: previous.Term == 0}
+	for _, vm := range previous.VMs {
 		if vm.Address != "" && vm.State != fleet.Suspected {
 			a.expected[vm.ID] = true
 		}
@@ -90,10 +93,16 @@
 func (a *entryAcks) departureSeq(id string) uint64 {
 	servers := a.l.views.Current().Servers
 	i := slices.IndexFunc(servers, func(s fleet.Server) bool { return s.ID == id })
-	if i >= 0 && !servers[i].Departing() && a.l.pushes.pending {
+	// While the view is partial, entries may list servers that it doesn't.
+	unlisted := i < 0 && !a.l.partialUntil.IsZero()
+	switch {
+	case (unlisted || i >= 0 && !servers[i].Departing()) && a.l.pushes.pending:
 		return a.l.seq() + 1
+	case unlisted:
+		return a.l.seq()
+	default:
+		return a.l.views.ServerSeq(id)
 	}
-	return a.l.views.ServerSeq(id)
 }
 
 func (a *entryAcks) add(ack *entryAck) {
@@ -136,7 +145,7 @@
 	for id := range a.expected {
 		out[id] = true
 	}
-	if !l.partialUntil.IsZero() {
+	if a.startedWithoutView {
 		out[unknownEntries] = true
 	}
 	return out
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -88,7 +88,7 @@
 	l.serverLimits = &serverLimits{l: l, known: map[string]serverLimit{}}
 	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
 	l.segments = newSegments(l)
-	l.acks = newEntryAcks(l, previous.VMs)
+	l.acks = newEntryAcks(l, previous)
 	l.pushView()
 	l.pushes.announceLeadership(previous.VMs)
 	return l
