--- a/root/control/consensus/coldstart.go
+++ b/root/control/consensus/coldstart.go
@@ -100,7 +100,7 @@
 
 // campaignIfAllGranted starts the election once every voter has granted the pre-vote.
 func (c *Core) campaignIfAllGranted() {
-	if c.rules.coldStartGranted(c.members().Voters, c.cold.granted) {
+	if c.hardStateDurable() && c.rules.coldStartGranted(c.members().Voters, c.cold.granted) {
 		c.campaign(Message{ColdStart: true})
 	}
 }
--- a/root/control/consensus/core.go
+++ b/root/control/consensus/core.go
@@ -234,7 +234,7 @@
 	}
 	c.resetElectionTimer()
 	switch {
-	case !c.promotable() || c.awaitsOwnVote():
+	case !c.promotable() || !c.hardStateDurable():
 	case c.mayStartCold():
 		c.startColdRound()
 	default:
--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -111,8 +111,7 @@
 }
 
 // awaitsOwnVote reports whether this replica is a candidate that can't ask for votes yet,
-// because its own vote is not durable. It must not move to yet another term: each one that
-// it reaches before the others is one in which they reject each other.
+// because its own vote is not durable.
 func (c *Core) awaitsOwnVote() bool { return c.role == candidate && !c.votes[c.cfg.ID] }
 
 // refusesVotes reports whether a leader, possibly this replica, may hold a lease
--- a/root/control/consensus/writes.go
+++ b/root/control/consensus/writes.go
@@ -10,6 +10,8 @@
 	// last durable one.
 	lastSeq, persistedSeq         uint64
 	hardStateDirty, snapshotDirty bool
+	// hardStateSeq is the Seq of the last batch with a hard state.
+	hardStateSeq uint64
 	// lastIndex and lastTerm identify the last log entry as of batch lastSeq.
 	lastIndex, lastTerm uint64
 	deferred            []deferredMessage
@@ -25,6 +27,13 @@
 	return c.writes.hardStateDirty || c.writes.snapshotDirty || c.log.truncated || c.log.submitted < c.log.lastIndex()
 }
 
+// hardStateDurable reports whether the term and vote are durable. Until then this replica
+// must not move to yet another term: while its disk hangs it can't be elected, and each term
+// that it reaches before the others costs them a round, or their leader once the disk works.
+func (c *Core) hardStateDurable() bool {
+	return !c.writes.hardStateDirty && c.writes.hardStateSeq <= c.writes.persistedSeq
+}
+
 // nextWriteBatch returns the next batch, or nil if one is still being written or nothing
 // has changed.
 func (c *Core) nextWriteBatch() *WriteBatch {
@@ -36,6 +45,7 @@
 	batch := &WriteBatch{Seq: w.lastSeq, Truncate: c.log.truncated, TruncateAfter: c.log.truncateAfter}
 	if w.hardStateDirty {
 		batch.HardState = &HardState{Term: c.term, Vote: c.vote}
+		w.hardStateSeq = w.lastSeq
 	}
 	if w.snapshotDirty {
 		batch.Snapshot = c.snapshot
