--- a/root/control/machine/entry_acks.go
+++ b/root/control/machine/entry_acks.go
@@ -13,6 +13,10 @@
 	// to confirm at once what an answer waits for. In a larger fleet their next Renew
 	// does, since hundreds of them together delay the heartbeats of consensus.
 	maxPromptConfirmations = 64
+	// minConfirmTime is how long an answer waits for entries after a commit that took long.
+	minConfirmTime = 100 * time.Millisecond
+	// unknownEntries stands for the entries that a leader without a view does not know yet.
+	unknownEntries = "unknown"
 	// maxReportedEntries bounds the entries that one log line names.
 	maxReportedEntries = 8
 )
@@ -71,6 +75,17 @@
 	a.request()
 }
 
+// addFleetChange adds an answer to p that waits until the entries have a view of the present
+// fleet.
+func (a *entryAcks) addFleetChange(p proposer, result replicated.Result) {
+	seq := a.l.seq()
+	if a.l.pushes.pending {
+		seq++
+	}
+	a.add(&entryAck{proposer: p, result: result, seq: seq})
+	a.request()
+}
+
 // departureSeq returns the sequence of the first view in which a server departs or is gone.
 func (a *entryAcks) departureSeq(id string) uint64 {
 	servers := a.l.views.Current().Servers
@@ -84,7 +99,10 @@
 func (a *entryAcks) add(ack *entryAck) {
 	ack.lacking = a.awaited()
 	ack.entries = len(ack.lacking)
-	ack.until = ack.proposer.receivedAt.Add(a.l.m.cfg.Timing.EntryConfirmTimeout)
+	ack.until = latest(ack.proposer.receivedAt.Add(a.l.m.cfg.Timing.EntryConfirmTimeout), a.l.m.now.Add(minConfirmTime))
+	if ack.lacking[unknownEntries] {
+		ack.until = latest(ack.until, a.l.establishedAt.Add(a.contactTime()))
+	}
 	for id := range ack.lacking {
 		if ack.heldBy(a.l.holders[id]) {
 			delete(ack.lacking, id)
@@ -103,23 +121,38 @@
 }
 
 // awaited returns the entries that are in contact with this leader, or were with the last
-// one.
+// one. A leader that has just started without a view awaits unknownEntries, which get the
+// current view with their first Grant.
 func (a *entryAcks) awaited() map[string]bool {
 	l, out := a.l, map[string]bool{}
-	contact := 2 * l.m.cfg.Timing.RenewInterval
 	for id, h := range l.holders {
-		if h.vm.Address != "" && l.m.now.Sub(l.renewedAt(h)) < contact {
+		if h.vm.Address != "" && l.m.now.Sub(l.renewedAt(h)) < a.contactTime() {
 			out[id] = true
 		}
 	}
-	if l.m.now.Sub(l.establishedAt) < contact {
-		for id := range a.expected {
-			out[id] = true
-		}
+	if l.m.now.Sub(l.establishedAt) >= a.contactTime() {
+		return out
+	}
+	for id := range a.expected {
+		out[id] = true
+	}
+	if !l.partialUntil.IsZero() {
+		out[unknownEntries] = true
 	}
 	return out
 }
 
+// contactTime is the time after its last Renew, or after a change of leader, for which an
+// entry is awaited.
+func (a *entryAcks) contactTime() time.Duration { return 2 * a.l.m.cfg.Timing.RenewInterval }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (ack *entryAck) heldBy(h *leaseHolder) bool {
 	return h != nil && h.confirmed.Routes >= ack.routes && h.confirmed.Seq >= ack.seq
 }
