--- a/root/control/consensus/election.go
+++ b/root/control/consensus/election.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// awaitsVotes reports whether this replica has asked for pre-votes or votes in a round that
-// goes on.
+// awaitsVotes reports whether this replica has asked for pre-votes or votes and still waits
+// for them.
 func (c *Core) awaitsVotes() bool {
 	return c.role == preCandidate || c.role == candidate && !c.awaitsOwnVote()
 }
@@ -145,7 +145,7 @@
 	default:
 		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
 		if c.role == preCandidate && m.From < c.cfg.ID && !c.gaveUpRound {
-			// Of two rounds at the same time one goes on, since two elections would split the
+			// Of two rounds at the same time one ends, since two elections would split the
 			// votes. The other candidate's log is at least as up to date as this one's, but it
 			// may reach fewer voters, so this replica does it once.
 			c.gaveUpRound = true
--- a/root/control/machine/leader_search.go
+++ b/root/control/machine/leader_search.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// onNotLeader follows a hint, or goes on with the search.
+// onNotLeader follows a hint, or continues the search.
 func (c *leaseClient) onNotLeader(from string, msg NotLeader) {
 	if from != c.leader && !c.search.active {
 		return
--- a/root/control/machine/membership.go
+++ b/root/control/machine/membership.go
@@ -28,7 +28,7 @@
 	return l.m.cfg.OpenMembership || slices.Contains(l.m.cfg.Replicas, vm)
 }
 
-// promoteLearners goes on with the steps towards a vote of each learner that has caught up,
+// promoteLearners takes the next step towards a vote of a learner that has caught up,
 // without another Renew of its VM: until it votes, the next loss may cost the quorum.
 func (l *leader) promoteLearners() {
 	st := l.r.core.Status()
