--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -89,8 +89,9 @@
 }
 
 // Proposed answers a Propose: a table change once every lease holder has applied it,
-// an order once it is settled, a read once leadership is confirmed, and any other
-// command once it is applied. A rejected command is answered at once.
+// an order once it is settled, a read once leadership is confirmed, routes, departures and
+// drains once the entries in contact have confirmed them or EntryConfirmTimeout has passed,
+// and any other command once it is applied. A rejected command is answered at once.
 type Proposed struct {
 	ID     uint64
 	Result replicated.Result
