--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -45,6 +45,8 @@
 	calls    map[string]*call
 	last     *call
 	loads    map[string]*load
+	// tune changes the settings of each VM; nil for none.
+	tune func(*settings.Settings)
 }
 
 // clusters numbers the clusters of this test process.
@@ -165,6 +167,9 @@
 	if v.replica {
 		s.Replica = &settings.Replica{DataFolder: v.data, CompactEveryEntries: 100}
 	}
+	if c.tune != nil {
+		c.tune(&s)
+	}
 	data, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return err
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -36,6 +36,8 @@
 	disturbances              []time.Time
 	sendingClients, heartbeat sync.WaitGroup
 	done                      chan struct{}
+	// tune changes the settings of each VM before it starts; nil for none.
+	tune func(*settings.Settings)
 }
 
 // fleetVM is one VM of a fleet.
@@ -153,6 +155,9 @@
 	} else {
 		s.Platform.Frontend, s.Platform.Readiness = f.address(v, f.frontendPort), f.address(v, f.readyPort)
 	}
+	if f.tune != nil {
+		f.tune(&s)
+	}
 	data, err := json.Marshal(s)
 	qt.Assert(f.t, err, qt.IsNil)
 	qt.Assert(f.t, os.WriteFile(v.args[2], data, 0o600), qt.IsNil)
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,8 @@
 	name string
 	args []string
 	log  string
+	// maxFiles is the process's limit on descriptors; 0 for that of the test.
+	maxFiles int
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -36,6 +39,10 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(binary, p.args...)
+	if p.maxFiles > 0 {
+		limited := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(p.maxFiles), binary}
+		cmd = exec.Command("sh", append(limited, p.args...)...)
+	}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
