--- a/api/codec/command.go
+++ b/api/codec/command.go
@@ -49,6 +49,9 @@
 	case replicated.QuarantineSegments:
 		body := &api.LogQuarantineSegments{Segments: fromSegments(c.Segments), AtMs: c.At}
 		m.Body = &api.LogCommand_QuarantineSegments{QuarantineSegments: body}
+	case replicated.ReleaseSegments:
+		body := &api.LogReleaseSegments{Segments: fromSegments(c.Segments), AtMs: c.At}
+		m.Body = &api.LogCommand_ReleaseSegments{ReleaseSegments: body}
 	case replicated.RecordFleet:
 		body := &api.LogRecordFleet{Servers: fromRecordedServers(c.Servers), Removed: c.Removed, AtMs: c.At}
 		m.Body = &api.LogCommand_RecordFleet{RecordFleet: body}
@@ -105,6 +108,8 @@
 		return replicated.ReplaceRoutes{Document: document, At: b.ReplaceRoutes.AtMs}, err
 	case *api.LogCommand_QuarantineSegments:
 		return replicated.QuarantineSegments{Segments: toSegments(b.QuarantineSegments.Segments), At: b.QuarantineSegments.AtMs}, nil
+	case *api.LogCommand_ReleaseSegments:
+		return replicated.ReleaseSegments{Segments: toSegments(b.ReleaseSegments.Segments), At: b.ReleaseSegments.AtMs}, nil
 	case *api.LogCommand_RecordFleet:
 		servers, err := toRecordedServers(b.RecordFleet.Servers)
 		return replicated.RecordFleet{Servers: servers, Removed: b.RecordFleet.Removed, At: b.RecordFleet.AtMs}, err
--- a/api/codec/log_test.go
+++ b/api/codec/log_test.go
@@ -45,6 +45,7 @@
 	replicated.SetFencing{Server: "e", Checks: true, Operator: "o", At: 12},
 	replicated.Tick{At: 13},
 	replicated.QuarantineSegments{Segments: []quarantine.Segment{7, 1 << 63}, At: 14},
+	replicated.ReleaseSegments{Segments: []quarantine.Segment{7, 1 << 63}, At: 15},
 }
 
 func TestCommandsResultsAndSnapshotsComeBackEqual(t *testing.T) {
--- a/api/codec/segments.go
+++ b/api/codec/segments.go
@@ -153,18 +153,18 @@
 	return out
 }
 
-func fromQuarantine(entries []quarantine.Entry) []*api.LogQuarantined {
+func fromQuarantine(records []quarantine.Record) []*api.LogQuarantined {
 	var out []*api.LogQuarantined
-	for _, e := range entries {
-		out = append(out, &api.LogQuarantined{Segment: uint64(e.Segment), UntilMs: e.Until})
+	for _, r := range records {
+		out = append(out, &api.LogQuarantined{Segment: uint64(r.Segment), UntilMs: r.Until, DurationMs: r.Duration})
 	}
 	return out
 }
 
-func toQuarantine(entries []*api.LogQuarantined) []quarantine.Entry {
-	var out []quarantine.Entry
-	for _, e := range entries {
-		out = append(out, quarantine.Entry{Segment: quarantine.Segment(e.Segment), Until: e.UntilMs})
+func toQuarantine(records []*api.LogQuarantined) []quarantine.Record {
+	var out []quarantine.Record
+	for _, r := range records {
+		out = append(out, quarantine.Record{Segment: quarantine.Segment(r.Segment), Until: r.UntilMs, Duration: r.DurationMs})
 	}
 	return out
 }
--- a/root/control/machine/leader_proposals.go
+++ b/root/control/machine/leader_proposals.go
@@ -46,7 +46,8 @@
 		l.readRoutes(p)
 	case replicated.RecordFleet:
 		l.onDepartures(p, cmd.Servers)
-	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.QuarantineSegments, replicated.Tick:
+	case replicated.AcquireAuthority, replicated.AbandonWork, replicated.QuarantineSegments, replicated.ReleaseSegments,
+		replicated.Tick:
 		l.answer(p, replicated.Result{Err: fault.New(fault.Invalid, part, "only the leader may propose this command")})
 	default:
 		l.propose(msg.Command, p)
@@ -121,7 +122,7 @@
 			l.acks.addFleetChange(p, result)
 			return
 		}
-	case replicated.SetFencing, replicated.QuarantineSegments:
+	case replicated.SetFencing, replicated.QuarantineSegments, replicated.ReleaseSegments:
 		l.onFleetChange()
 	case replicated.RecordFleet:
 		l.nextFleetRecord = time.Time{}
--- a/root/control/replicated/apply.go
+++ b/root/control/replicated/apply.go
@@ -177,6 +177,11 @@
 	return Result{Err: s.quarantine.Add(c.Segments, now)}
 }
 
+func (c ReleaseSegments) apply(s *State, _ int64) Result {
+	s.quarantine.Release(c.Segments)
+	return Result{}
+}
+
 func (c Tick) apply(*State, int64) Result { return Result{} }
 
 func validateIDAndOperator(id, operator string) *fault.Error {
--- a/root/control/replicated/command.go
+++ b/root/control/replicated/command.go
@@ -101,13 +101,20 @@
 }
 
 // QuarantineSegments keeps requests with these prompt segments from engines for
-// quarantine.Duration.
+// quarantine.Duration, or longer after an earlier quarantine.
 type QuarantineSegments struct {
 	Segments []quarantine.Segment
 	// At is the time of the command in Unix milliseconds.
 	At int64
 }
 
+// ReleaseSegments ends the probation of prompt segments.
+type ReleaseSegments struct {
+	Segments []quarantine.Segment
+	// At is the time of the command in Unix milliseconds.
+	At int64
+}
+
 // Tick advances the time of the state, so that records expire while no other
 // commands are committed.
 type Tick struct {
@@ -137,6 +144,7 @@
 func (c RecordFleet) timestamp() int64      { return c.At }
 
 func (c QuarantineSegments) timestamp() int64 { return c.At }
+func (c ReleaseSegments) timestamp() int64    { return c.At }
 
 func (c ChangeTable) withTimestamp(at int64) Command {
 	c.At = at
@@ -148,6 +156,11 @@
 	return c
 }
 
+func (c ReleaseSegments) withTimestamp(at int64) Command {
+	c.At = at
+	return c
+}
+
 func (c RecordFleet) withTimestamp(at int64) Command {
 	c.At = at
 	return c
--- a/root/control/replicated/state.go
+++ b/root/control/replicated/state.go
@@ -46,7 +46,7 @@
 	fencing map[string]FencingSetting
 	routes  *routes.State
 	fleet   map[string]fleet.Server
-	// quarantine holds the prompt segments that are kept from engines.
+	// quarantine holds the prompt segments that are kept from engines or on probation.
 	quarantine *quarantine.State
 }
 
@@ -108,7 +108,8 @@
 // Routes returns the current routing document, or nil if there is none yet.
 func (s *State) Routes() *routes.Document { return s.routes.Document() }
 
-// Quarantine returns the prompt segments in quarantine, which must not be modified.
+// Quarantine returns the prompt segments in quarantine and on probation, which must not be
+// modified.
 func (s *State) Quarantine() *quarantine.State { return s.quarantine }
 
 // Ledger returns the ledger, which must not be modified.
@@ -132,8 +133,8 @@
 	// Routes is nil until there is a routing document.
 	Routes *routes.Document
 	Fleet  map[string]fleet.Server
-	// Quarantine holds the prompt segments in quarantine, sorted by segment.
-	Quarantine []quarantine.Entry
+	// Quarantine holds the prompt segments in quarantine and on probation, sorted by segment.
+	Quarantine []quarantine.Record
 }
 
 // Snapshot returns a snapshot of the current state, which later commands don't affect.
@@ -149,7 +150,7 @@
 		Routes:    s.routes.Document(),
 		Fleet:     s.fleet,
 
-		Quarantine: s.quarantine.Entries(),
+		Quarantine: s.quarantine.Records(),
 	}
 }
 
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q, err := quarantine.Restore(snap.Quarantine)
+	q, err := quarantine.Restore(snap.Quarantine, snap.Now)
 	if err != nil {
 		return nil, err
 	}
