--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -192,6 +192,8 @@
 	case machine.LeaderFound:
 		l.log.Info("a leader renews the view again", "leader", e.Leader, "term", e.Term, "seq", e.Seq, "routes", e.RoutesVersion,
 			"silence_ms", e.Silence.Milliseconds(), "asked", e.Asked)
+	case machine.SegmentEvent:
+		logSegmentEvent(l.log, e)
 	case machine.Halt:
 		l.halt(e.Err)
 	}
--- a/root/control/machine/leader.go
+++ b/root/control/machine/leader.go
@@ -87,7 +87,7 @@
 	l.shares = &shares{l: l}
 	l.serverLimits = &serverLimits{l: l, known: map[string]serverLimit{}}
 	l.pushes = &pushes{l: l, unaware: map[string]bool{}}
-	l.segments = newSegments(l)
+	l.segments = newSegments(l, previous.Segments)
 	l.acks = newEntryAcks(l, previous)
 	l.pushView()
 	l.pushes.announceLeadership(previous.VMs)
@@ -161,7 +161,7 @@
 		}
 	}
 	l.fleet.ObserveLoads(from, msg.Loads)
-	changed = l.segments.observe(msg) || changed
+	changed = l.segments.observe(from, msg) || changed
 	if changed {
 		l.onFleetChange()
 	} else if !l.m.now.Before(l.nextLoadRefresh) {
@@ -199,6 +199,7 @@
 func (l *leader) tick() {
 	now := l.m.now
 	l.pushes.tick()
+	l.segments.tick()
 	l.acks.answerComplete()
 	if now.Before(l.nextSweep) {
 		return
@@ -209,7 +210,7 @@
 	l.promoteLearners()
 	l.recordFleet()
 	l.abandonEarlierIncarnations()
-	l.segments.advance()
+	l.segments.sweep()
 	if l.fleet.Expire(now) {
 		l.forgetRemoved()
 		l.pushView()
@@ -224,7 +225,7 @@
 }
 
 func (l *leader) nextWake() time.Time {
-	return earlier(earlier(l.nextSweep, l.pushes.nextWake()), l.acks.nextWake())
+	return earlier(earlier(l.nextSweep, l.pushes.nextWake()), earlier(l.acks.nextWake(), l.segments.nextWake()))
 }
 
 // endPartialView marks the view as complete once partialUntil has passed.
--- a/root/control/machine/lease_client.go
+++ b/root/control/machine/lease_client.go
@@ -152,8 +152,7 @@
 	vm.State = c.advertisedState()
 	vm.InFlight = c.traffic.InFlight
 	vm.Replica = c.m.replica != nil
-	losses, completed := c.segments.unconfirmed()
-	return Renew{
+	return c.segments.addTo(Renew{
 		VM:            vm,
 		SentAt:        c.m.now.Sub(c.m.started),
 		ViewTerm:      c.current.Term,
@@ -166,13 +165,10 @@
 		LoadsSeq:      c.traffic.ViewSeq,
 		Demands:       c.traffic.Demands,
 
-		SegmentLosses:     losses,
-		CompletedSegments: completed,
-		ServerDemands:     c.serverDemands(),
-
-		Replica: c.replicaID(),
-		Stopped: c.stopped,
-	}
+		ServerDemands: c.serverDemands(),
+		Replica:       c.replicaID(),
+		Stopped:       c.stopped,
+	})
 }
 
 // serverDemands returns the demands of the last traffic report with their present age.
@@ -257,6 +253,7 @@
 	c.noteGrant()
 	c.updateReported(g)
 	applied := g.Update == nil || c.applyUpdate(g.Update)
+	c.segments.onGranted(g.GrantedProbes)
 	if g.Lease == 0 {
 		if g.Confirm || !applied {
 			c.nextRenew = c.m.now
--- a/root/control/machine/lease_holders.go
+++ b/root/control/machine/lease_holders.go
@@ -66,6 +66,7 @@
 	}
 	h.pushed = h.confirmed
 	g := Grant{Echo: msg.SentAt, Lease: lease, Term: l.term, Seq: l.seq(), Shares: l.shares.forVM(to), Left: l.hasLeft(to), ServerShares: l.serverLimits.forVM(to)}
+	g.GrantedProbes = l.segments.grantedTo(to)
 	if h.confirmed.Seq != l.seq() {
 		g.Update = l.views.Since(h.confirmed)
 		h.pushed = l.views.Versions()
@@ -77,6 +78,7 @@
 func (l *leader) removeStopped(from string) {
 	delete(l.leavingSeq, from)
 	delete(l.holders, from)
+	l.segments.forget(from)
 	l.fleet.RemoveVM(from)
 	l.acks.onStopped(from)
 	l.pushView()
@@ -89,10 +91,17 @@
 	for id, h := range l.holders {
 		if l.m.now.Sub(h.expiresAt) > l.m.cfg.Timing.Fleet.RemoveAfter {
 			delete(l.holders, id)
+			l.segments.forget(id)
 		}
 	}
 }
 
+// isLive reports whether the VM holds a lease of this leader.
+func (l *leader) isLive(vm string) bool {
+	h := l.holders[vm]
+	return h != nil && l.m.now.Before(h.expiresAt)
+}
+
 // hasLeft reports whether no other holder of a live lease still has a view that
 // shows the VM as accepting work.
 func (l *leader) hasLeft(vm string) bool {
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -317,6 +317,45 @@
 	Waited time.Duration
 }
 
+// SegmentEventKind is a step of what this leader does about prompt segments.
+type SegmentEventKind uint8
+
+// The kinds of segment events.
+const (
+	// SegmentSuspected has the engines that were lost and the entries that reported it.
+	SegmentSuspected SegmentEventKind = iota
+	// SegmentCleared and SegmentReleased have the entry at which a response completed.
+	SegmentCleared
+	SegmentReleased
+	// SegmentConfirmed is the decision to put segments into quarantine.
+	SegmentConfirmed
+	// ProbeGranted and the others have the entry and the id of the probe.
+	ProbeGranted
+	ProbeCompleted
+	ProbeFailed
+	ProbeWithoutResult
+)
+
+// String returns the kind as it stands in logs.
+func (k SegmentEventKind) String() string {
+	return [...]string{
+		"prompt segment suspected", "prompt segment cleared", "prompt segment to be released",
+		"prompt segments to be quarantined", "probe granted", "probe completed", "probe failed",
+		"probe ended without a result",
+	}[k]
+}
+
+// SegmentEvent reports what this leader has done about prompt segments, for the log.
+type SegmentEvent struct {
+	Kind     SegmentEventKind
+	Segments []quarantine.Segment
+	Engines  []string
+	Entries  []string
+	// Probe is the id of the probe.
+	Probe uint64
+	Term  uint64
+}
+
 // Halt stops the process because the control state is corrupt or a snapshot of it
 // failed.
 type Halt struct{ Err *fault.Error }
@@ -335,4 +374,5 @@
 func (MembersChanged) effect()     {}
 func (RoutesRead) effect()         {}
 func (RoutesAcknowledged) effect() {}
+func (SegmentEvent) effect()       {}
 func (Halt) effect()               {}
--- a/root/control/machine/node_test.go
+++ b/root/control/machine/node_test.go
@@ -51,6 +51,8 @@
 	pending  map[uint64]table.Change
 	// serverShares are the last shares of the limits of servers.
 	serverShares []fleet.ServerShare
+	// granted are the probes that may run by the last GrantProbes.
+	granted []uint64
 }
 
 type write struct {
@@ -148,6 +150,8 @@
 		n.onAnswer(e)
 	case machine.SetServerShares:
 		n.serverShares = e.Shares
+	case machine.GrantProbes:
+		n.granted = e.IDs
 	case machine.EncodeSnapshot:
 		n.encoding = &e
 	case machine.IssueOrder:
--- a/root/control/quarantine/quarantine.go
+++ b/root/control/quarantine/quarantine.go
@@ -133,6 +133,9 @@
 	})
 }
 
+// CompareSuspects orders suspects by segment.
+func CompareSuspects(a, b Suspect) int { return compare(a.Segment, b.Segment) }
+
 func compare(a, b Segment) int {
 	switch {
 	case a < b:
--- a/root/view_log.go
+++ b/root/view_log.go
@@ -37,9 +37,15 @@
 			log.Info("prompt segment quarantined", "segment", e.Segment.String(), "until", time.UnixMilli(e.Until).UTC())
 		}
 	}
-	for _, e := range old.Quarantined {
-		if _, remains := next.Find([]quarantine.Segment{e.Segment}); !remains {
-			log.Info("prompt segment released", "segment", e.Segment.String())
+	for _, s := range heldSegments(old) {
+		_, quarantined := next.Find([]quarantine.Segment{s})
+		_, was := old.Find([]quarantine.Segment{s})
+		suspect, found := next.Suspect(s)
+		switch onProbation := found && suspect.Probation; {
+		case onProbation && was:
+			log.Info("prompt segment on probation", "segment", s.String())
+		case !onProbation && !quarantined:
+			log.Info("prompt segment released", "segment", s.String())
 		}
 	}
 	if suspects := suspectNames(next); !slices.Equal(suspects, suspectNames(old)) {
@@ -47,6 +53,20 @@
 	}
 }
 
+// heldSegments returns the segments in quarantine and on probation.
+func heldSegments(l quarantine.List) []quarantine.Segment {
+	var out []quarantine.Segment
+	for _, e := range l.Quarantined {
+		out = append(out, e.Segment)
+	}
+	for _, s := range l.Suspects {
+		if s.Probation {
+			out = append(out, s.Segment)
+		}
+	}
+	return out
+}
+
 func suspectNames(l quarantine.List) []string {
 	out := []string{}
 	for _, s := range l.Suspects {
