--- a/root/metrics.go
+++ b/root/metrics.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// ObserveCheck implements relay.Observer.
+func (m *metricSet) ObserveCheck(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("wagtaildyke_server_checks_total{result=%q}", result)).Inc()
+}
+
 // ObserveResponse counts a response to a caller by its HTTP status, which is 0 for a
 // truncated response.
 func (m *metricSet) ObserveResponse(status int, duration time.Duration) {
--- a/root/traffic/engine/engine.go
+++ b/root/traffic/engine/engine.go
@@ -49,6 +49,8 @@
 	Headers []Header
 	// Stream is set when the body is a stream of events.
 	Stream bool
+	// Unframed is set when the body ends with its connection; see Unframed.
+	Unframed bool
 	// NotRun is set when the backend server states that it did not execute the
 	// request.
 	NotRun bool
--- a/root/traffic/engine/verbatim.go
+++ b/root/traffic/engine/verbatim.go
@@ -44,7 +44,7 @@
 func (t *Transport) NewResponseReader(resp *http.Response) *VerbatimReader {
 	v := NewVerbatimReader(resp.Body)
 	v.memory = &t.bodies
-	v.needsEvent = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	v.needsEvent = Unframed(resp)
 	return v
 }
 
--- a/root/traffic/placement/placer.go
+++ b/root/traffic/placement/placer.go
@@ -165,8 +165,8 @@
 	l.run.MarkPrefilled()
 }
 
-// Observe applies a notice from the response to the request. It reports whether the
-// notice says more than earlier ones of the server.
+// Observe applies a notice from the head of the response to the request. It reports
+// whether the notice says more than earlier ones of the server.
 func (l *Lease) Observe(n Notice) bool {
 	l.placer.mu.Lock()
 	defer l.placer.mu.Unlock()
--- a/root/traffic/placement/state.go
+++ b/root/traffic/placement/state.go
@@ -59,6 +59,12 @@
 	// longPrefills counts this entry's whole requests with a long prompt that the
 	// server has not prefilled yet.
 	longPrefills int
+	// lastResponse is when the head of a response last arrived.
+	lastResponse time.Time
+	// removed is set if the view no longer lists the server, and lastListed is its state
+	// when it last did.
+	removed    bool
+	lastListed fleet.State
 }
 
 // LongPromptTokens is the prompt length from which a request is disaggregated as a
@@ -142,6 +148,9 @@
 		if seen[id] {
 			continue
 		}
+		if !known.removed {
+			known.removed, known.lastListed = true, known.State
+		}
 		known.State = fleet.Leaving
 		known.flushQueue()
 		if known.ownRunning == 0 {
@@ -185,7 +194,7 @@
 	if !next.Load.AnnouncedAt.Equal(known.Load.AnnouncedAt) {
 		known.ownRunningAtReport, known.ownTokensAtReport = known.ownRunning, known.ownTokens+known.ownQueuedTokens()
 	}
-	known.Server = next
+	known.Server, known.removed = next, false
 	s.applyNotices(known)
 	if known.State != fleet.Active || known.Role != fleet.Prefill {
 		known.flushQueue()
--- /dev/null
+++ b/root/traffic/relay/losses.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+)
+
+// beginningTime is how long after its first output a response counts as one that begins.
+// An engine may take 160 ms from its first event to its crash.
+const beginningTime = 250 * time.Millisecond
+
+// evidence is what an ended attempt shows about the shared segments of its prompt.
+type evidence uint8
+
+// The kinds of evidence.
+const (
+	noEvidence evidence = iota
+	// survived means that the engine completed the response.
+	survived
+	// survivedIfAccepting means that the response ended with its connection. It is
+	// complete only if the engine has not ended.
+	survivedIfAccepting
+	// lost means that the engine ended as the response began.
+	lost
+	// lostIfGone means that there was no response or output and that the engine may have
+	// ended. Otherwise it had no room for the connection or took too long.
+	lostIfGone
+)
+
+// endedCall is one call of an engine that has ended.
+type endedCall struct {
+	lease *placement.Lease
+	// head is that of the response; its status is 0 without a response.
+	head engine.Head
+	// answered is set if the response was delivered completely.
+	answered bool
+	err      error
+	// timedOut is set if the deadline or the watchdog ended the call.
+	timedOut bool
+}
+
+// evidence returns what the call shows. A call that can't have reached the engine shows
+// nothing, and neither does an error status: the engine may not have run the prompt.
+func (e endedCall) evidence() evidence {
+	switch {
+	case e.head.Status == 0:
+		return e.withoutHead()
+	case e.answered && e.head.Status/100 != http.StatusOK/100:
+		return noEvidence
+	case e.answered && e.head.Unframed && e.lease.SinceFirstOutput() < survivalTime:
+		return survivedIfAccepting
+	case e.answered:
+		return survived
+	case engine.ClosedByPeer(e.err) && e.lease.SinceFirstOutput() <= beginningTime:
+		return lost
+	case engine.Unreachable(e.err) && e.lease.TimeToFirstOutput() == 0:
+		return lostIfGone
+	default:
+		return noEvidence
+	}
+}
+
+// withoutHead returns what a call without a response head shows. A call that took too long
+// shows nothing if the server has responded to others meanwhile.
+func (e endedCall) withoutHead() evidence {
+	var send *engine.SendError
+	if !errors.As(e.err, &send) || send.NotSent {
+		return noEvidence
+	}
+	if engine.ClosedByPeer(e.err) || engine.Unreachable(e.err) || e.timedOut && e.lease.Silent() {
+		return lostIfGone
+	}
+	return noEvidence
+}
+
+// timedOut reports whether the deadline ended ctx, or the watchdog its child.
+func timedOut(ctx, watched context.Context) bool {
+	if ctx.Err() != nil {
+		return errors.Is(ctx.Err(), context.DeadlineExceeded)
+	}
+	return watched.Err() != nil
+}
+
+// observe reports what an ended call shows about the shared segments of the prompt. The
+// server is checked in the background where that depends on whether it has ended.
+func (r *requestRun) observe(e endedCall) {
+	held, shown, at := r.heldSegments(), e.evidence(), r.LeaseNow()
+	if len(held) == 0 {
+		return
+	}
+	switch shown {
+	case survived:
+		r.Segments.Completed(held, at)
+	case lost:
+		r.observeLoss(e.lease, at)
+	case survivedIfAccepting, lostIfGone:
+		report := func(result CheckResult, dialErr error) {
+			result = withStanding(result, e.lease.Standing())
+			r.logCheck(e, shown, result, dialErr)
+			switch {
+			case result == Gone:
+				r.observeLoss(e.lease, at)
+			case result == Accepting && shown == survivedIfAccepting:
+				r.Segments.Completed(held, at)
+			}
+		}
+		if !r.checks.request(e.lease.Server(), report) {
+			report(Unchecked, nil)
+		}
+	}
+}
+
+// withStanding corrects the result of a check by what the view says of the server: after a
+// planned stop it is gone without a loss, and at the address of one that has ended another
+// one may accept connections.
+func withStanding(result CheckResult, standing placement.Standing) CheckResult {
+	switch {
+	case result == Gone && standing == placement.Departed:
+		return Stopped
+	case result == Accepting && standing == placement.Replaced:
+		return Gone
+	default:
+		return result
+	}
+}
+
+// observeLoss reports an engine that ended under the request, unless its stop was planned.
+func (r *requestRun) observeLoss(lease *placement.Lease, at time.Time) {
+	if lease.Standing() == placement.Departed {
+		return
+	}
+	r.engineEnded.Store(true)
+	r.Segments.Lost(r.heldSegments(), lease.Server(), at)
+}
+
+// logCheck counts and logs the result of a check for this request. Complete responses are
+// sampled in the log.
+func (r *requestRun) logCheck(e endedCall, shown evidence, result CheckResult, dialErr error) {
+	r.Observer.ObserveCheck(result.String())
+	if shown == survivedIfAccepting && result == Accepting && !r.successLog.allow(time.Now()) {
+		return
+	}
+	reason := "the response ended with its connection"
+	if e.err != nil {
+		reason = e.err.Error()
+	}
+	fields := []any{"request", r.req.ID, "server", e.lease.Server().ID, "result", result.String(), "reason", reason}
+	if dialErr != nil {
+		fields = append(fields, "dial", dialErr.Error())
+	}
+	r.Log.Info("server checked", fields...)
+}
--- /dev/null
+++ b/root/traffic/relay/losses_test.go
@@ -0,0 +1,377 @@
+package relay_test
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
+	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+)
+
+// checkTime is longer than any check takes.
+const checkTime = 5 * time.Second
+
+func refused(string) error { return syscall.ECONNREFUSED }
+
+// TestEndBeforeTheHeadIsALossIfTheEngineIsGone guards against prompts that crash one
+// engine after the other before it sends the head of a response, unnoticed.
+func TestEndBeforeTheHeadIsALossIfTheEngineIsGone(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = refused
+		h.script = []scriptedResponse{{noResponse: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		time.Sleep(checkTime)
+		c.Assert(h.lost, qt.DeepEquals, map[quarantine.Segment][]string{
+			key("a"): {h.sent[0].server}, key("b"): {h.sent[0].server},
+		})
+		c.Assert(h.checks, qt.DeepEquals, []string{"gone"})
+	})
+}
+
+// TestEndOfAPrefillCallIsALossIfTheEngineIsGone guards against prompts that crash prefill
+// engines unnoticed, before the head of the response or after it.
+func TestEndOfAPrefillCallIsALossIfTheEngineIsGone(t *testing.T) {
+	for name, accepts := range map[string]bool{"gone": false, "accepting": true} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(c *qt.C, h *harness) {
+				if !accepts {
+					h.check = refused
+				}
+				h.prefillScript = []scriptedResponse{{noResponse: true}}
+				h.script = []scriptedResponse{{status: 200, events: 2}}
+				_, err := h.serve(longPrompt())
+				c.Assert(err == nil, qt.IsTrue)
+				time.Sleep(checkTime)
+				c.Assert(h.checked[0], qt.Equals, "prefill-1")
+				c.Assert(len(h.lost) > 0, qt.Equals, !accepts)
+			})
+		})
+	}
+}
+
+// TestEngineThatClosesItsListenerLastIsLost guards against engines that end but still
+// accept a connection just after they have closed that of the request.
+func TestEngineThatClosesItsListenerLastIsLost(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		dials := 0
+		h.check = func(string) error {
+			if dials++; dials == 1 {
+				return nil
+			}
+			return syscall.ECONNREFUSED
+		}
+		h.script = []scriptedResponse{{noResponse: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		time.Sleep(checkTime)
+		c.Assert(h.lost, qt.HasLen, 2)
+	})
+}
+
+// TestErrorsOfThisProcessAreNoLosses guards against losses reported for want of
+// descriptors at the entry.
+func TestErrorsOfThisProcessAreNoLosses(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = func(string) error { return syscall.EMFILE }
+		h.script = []scriptedResponse{{noResponse: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		time.Sleep(checkTime)
+		c.Assert(h.checks, qt.DeepEquals, []string{"unchecked"})
+		c.Assert(h.lost, qt.HasLen, 0)
+	})
+}
+
+// TestCheckDelaysNeitherRetryNorResponse guards against callers that wait for the dial to
+// an unreachable engine.
+func TestCheckDelaysNeitherRetryNorResponse(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = func(string) error {
+			time.Sleep(1500 * time.Millisecond)
+			return os.ErrDeadlineExceeded
+		}
+		began := time.Now()
+		h.script = []scriptedResponse{{noResponse: true}, {status: 200, events: 2}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		time.Sleep(checkTime)
+		c.Assert(h.lost, qt.HasLen, 2)
+	})
+}
+
+// TestRequestsLostAtAnEngineShareOneDial guards against a dial for each of the many
+// requests that an engine was running.
+func TestRequestsLostAtAnEngineShareOneDial(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = func(string) error {
+			time.Sleep(time.Second)
+			return syscall.ECONNREFUSED
+		}
+		var calls sync.WaitGroup
+		for range 6 {
+			h.script = append(h.script, scriptedResponse{noResponse: true, hang: 10 * time.Millisecond})
+			calls.Go(func() { h.serve(promptRequest("/stream/")) })
+		}
+		calls.Wait()
+		time.Sleep(checkTime)
+		dials := map[string]int{}
+		for _, id := range h.checked {
+			dials[id]++
+		}
+		for id, n := range dials {
+			c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
+		}
+		c.Assert(h.checks, qt.HasLen, 6)
+		c.Assert(len(h.lost[key("a")]), qt.Equals, 6)
+	})
+}
+
+// TestLossDuringADialIsNotJudgedByItsSuccess guards against an engine that ends just after
+// it has accepted the connection of an earlier request's check.
+func TestLossDuringADialIsNotJudgedByItsSuccess(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		dials := 0
+		h.check = func(string) error {
+			if dials++; dials <= 2 {
+				time.Sleep(time.Second)
+				return nil
+			}
+			return syscall.ECONNREFUSED
+		}
+		h.relay.Placer.SetView(onlyServer(h, "decode-1"))
+		h.script = []scriptedResponse{{noResponse: true}, {noResponse: true}}
+		h.serve(promptRequest("/stream/"))
+		// The second dial begins after 1.1 s.
+		time.Sleep(1500 * time.Millisecond)
+		h.serve(promptRequest("/stream/"))
+		time.Sleep(checkTime)
+		c.Assert(h.checks, qt.DeepEquals, []string{"accepting", "gone"})
+	})
+}
+
+// onlyServer returns the view with one server alone.
+func onlyServer(h *harness, id string) *view.View {
+	v := *h.views.Load()
+	v.Servers = nil
+	for _, s := range h.views.Load().Servers {
+		if s.ID == id {
+			v.Servers = append(v.Servers, s)
+		}
+	}
+	return &v
+}
+
+// TestUnreachableEngineIsLostWithoutAResponse guards against engines whose host goes away
+// with open connections: nothing closes them, and only the watchdog ends the attempt.
+func TestUnreachableEngineIsLostWithoutAResponse(t *testing.T) {
+	for name, path := range map[string]string{"watchdog": "/resumable/", "deadline": "/stream/"} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(c *qt.C, h *harness) {
+				h.check = func(string) error { return os.ErrDeadlineExceeded }
+				h.script = []scriptedResponse{{hang: time.Minute}, {status: 200, events: 2}}
+				_, err := h.serve(promptRequest(path))
+				c.Assert(err == nil, qt.Equals, path == "/resumable/")
+				time.Sleep(checkTime)
+				c.Assert(h.lost, qt.HasLen, 2)
+			})
+		})
+	}
+}
+
+// TestSlowEngineThatRespondsToOthersIsNotChecked guards against dials, and losses by a full
+// backlog, for requests that only took too long.
+func TestSlowEngineThatRespondsToOthersIsNotChecked(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = refused
+		h.relay.Placer.SetView(onlyServer(h, "decode-1"))
+		h.script = []scriptedResponse{{hang: time.Minute}, {status: 200, events: 2}}
+		var calls sync.WaitGroup
+		calls.Go(func() { h.serve(promptRequest("/stream/")) })
+		time.Sleep(time.Second)
+		_, err := h.serve(promptRequest("/stream/"))
+		c.Assert(err == nil, qt.IsTrue)
+		calls.Wait()
+		time.Sleep(checkTime)
+		c.Assert(h.checked, qt.HasLen, 0)
+		c.Assert(h.lost, qt.HasLen, 0)
+	})
+}
+
+// TestUnframedResponseIsCompleteOnlyIfTheEngineIsThere guards against an engine that ends
+// as a response without a length begins, which looks like the end of the response and
+// would clear the segment on which it crashed.
+func TestUnframedResponseIsCompleteOnlyIfTheEngineIsThere(t *testing.T) {
+	for name, script := range map[string]scriptedResponse{
+		"stream": {status: 200, events: 1, unframed: true}, "body": {status: 200, body: "x", unframed: true},
+	} {
+		for _, gone := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " gone ", gone), func(t *testing.T) {
+				withHarness(t, func(c *qt.C, h *harness) {
+					if gone {
+						h.check = refused
+					}
+					h.script = []scriptedResponse{script}
+					_, err := h.serve(promptRequest("/resumable/"))
+					c.Assert(err == nil, qt.IsTrue)
+					c.Assert(h.completed, qt.HasLen, 0)
+					time.Sleep(checkTime)
+					c.Assert(len(h.lost) == 2, qt.Equals, gone)
+					c.Assert(len(h.completed) == 2, qt.Equals, !gone)
+				})
+			})
+		}
+	}
+}
+
+// TestLongUnframedResponseNeedsNoCheck covers output that lasted long enough to show that
+// the engine survives.
+func TestLongUnframedResponseNeedsNoCheck(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = refused
+		h.script = []scriptedResponse{{status: 200, events: 2, pause: 1500 * time.Millisecond, unframed: true}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		time.Sleep(checkTime)
+		c.Assert(h.checked, qt.HasLen, 0)
+		c.Assert(len(h.completed) > 0, qt.IsTrue)
+	})
+}
+
+// TestErrorStatusIsNoCompletion guards against a segment that is cleared by a request that
+// the engine rejected before it ran the prompt.
+func TestErrorStatusIsNoCompletion(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.script = []scriptedResponse{{status: 400, body: "x"}}
+		_, err := h.serve(promptRequest("/resumable/"))
+		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(h.completed, qt.HasLen, 0)
+	})
+}
+
+// TestPlannedStopIsNoLoss guards against segments that become suspects when engines are
+// updated one after the other.
+func TestPlannedStopIsNoLoss(t *testing.T) {
+	for name, script := range map[string]scriptedResponse{
+		"before the head": {noResponse: true, hang: 200 * time.Millisecond},
+		"within a stream": {status: 200, events: 2, pause: 100 * time.Millisecond, cutByPeer: true},
+	} {
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " listed ", listed), func(t *testing.T) {
+				withHarness(t, func(c *qt.C, h *harness) {
+					h.check = refused
+					h.relay.Placer.SetView(onlyServer(h, "decode-1"))
+					h.script = []scriptedResponse{script}
+					var calls sync.WaitGroup
+					calls.Go(func() { h.serve(promptRequest("/stream/")) })
+					time.Sleep(50 * time.Millisecond)
+					v := onlyServer(h, "decode-1")
+					v.Servers[0].State = fleet.Draining
+					if !listed {
+						v.Servers = nil
+					}
+					h.relay.Placer.SetView(v)
+					calls.Wait()
+					time.Sleep(checkTime)
+					c.Assert(h.lost, qt.HasLen, 0)
+				})
+			})
+		}
+	}
+}
+
+// TestEngineThatHasReturnedIsLost guards against a crash that goes unnoticed because the
+// engine, or its successor at the address, accepts connections again.
+func TestEngineThatHasReturnedIsLost(t *testing.T) {
+	for name, successor := range map[string]fleet.Server{
+		"same id": {ID: "decode-1", Incarnation: 2}, "new id": {ID: "decode-9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(c *qt.C, h *harness) {
+				h.relay.Placer.SetView(onlyServer(h, "decode-1"))
+				h.script = []scriptedResponse{{noResponse: true, hang: 200 * time.Millisecond}}
+				var calls sync.WaitGroup
+				calls.Go(func() { h.serve(promptRequest("/stream/")) })
+				time.Sleep(50 * time.Millisecond)
+				v := onlyServer(h, "decode-1")
+				v.Servers[0].ID, v.Servers[0].Incarnation = successor.ID, successor.Incarnation
+				h.relay.Placer.SetView(v)
+				calls.Wait()
+				time.Sleep(checkTime)
+				c.Assert(h.lost, qt.HasLen, 2)
+			})
+		})
+	}
+}
+
+// TestRequestsWithoutSharedSegmentsAreNotChecked guards against dials for services without
+// engines and for prompts that share nothing.
+func TestRequestsWithoutSharedSegmentsAreNotChecked(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = refused
+		h.script = []scriptedResponse{{noResponse: true}, {noResponse: true}, {noResponse: true}, {noResponse: true}}
+		h.call("/safe/")
+		h.call("/stream/")
+		req := promptRequest("/stream/")
+		req.Prompt.Segments = req.Prompt.Segments[2:]
+		h.serve(req)
+		time.Sleep(checkTime)
+		c.Assert(h.checked, qt.HasLen, 0)
+	})
+}
+
+// TestChecksAreBounded loses many engines at unreachable hosts at once.
+func TestChecksAreBounded(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		v := *h.views.Load()
+		v.Servers = nil
+		for n := range 100 {
+			v.Servers = append(v.Servers, fleet.Server{ID: fmt.Sprint("d-", n), Kind: fleet.Engine, Role: fleet.Decode, Targets: []string{"llm"}, Slots: 1})
+		}
+		h.relay.Placer.SetView(&v)
+		var mu sync.Mutex
+		open, most := 0, 0
+		h.check = func(string) error {
+			mu.Lock()
+			open++
+			most = max(most, open)
+			mu.Unlock()
+			time.Sleep(time.Second)
+			mu.Lock()
+			open--
+			mu.Unlock()
+			return os.ErrDeadlineExceeded
+		}
+		var calls sync.WaitGroup
+		for range 100 {
+			h.script = append(h.script, scriptedResponse{noResponse: true, hang: time.Second})
+			calls.Go(func() { h.serve(promptRequest("/stream/")) })
+		}
+		calls.Wait()
+		time.Sleep(checkTime)
+		c.Assert(most > 32 && most <= 64, qt.IsTrue, qt.Commentf("%d", most))
+		c.Assert(h.checks, qt.HasLen, 100)
+	})
+}
+
+// TestPanicInACheckIsContained guards against a process that ends because a check fails
+// unexpectedly.
+func TestPanicInACheckIsContained(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = func(string) error { panic("test") }
+		for range 2 {
+			h.script = []scriptedResponse{{noResponse: true}}
+			h.serve(promptRequest("/stream/"))
+			time.Sleep(checkTime)
+		}
+		c.Assert(h.checks, qt.DeepEquals, []string{"unchecked", "unchecked"})
+	})
+}
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -66,13 +66,16 @@
 	}
 	head, handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
 	r.prefills++
-	r.observeNotice(lease, head)
+	if head.Status != 0 {
+		r.observeNotice(lease, head)
+	}
 	if err == nil {
 		lease.MarkFirstOutput()
 		outcome = placement.Answered
 		r.cache = &handle
 		return nil
 	}
+	r.observe(endedCall{lease: lease, head: head, err: err, timedOut: timedOut(ctx, ctx)})
 	if ctx.Err() != nil {
 		outcome = placement.Abandoned
 		return fault.From(err)
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -115,6 +115,9 @@
 	Prefill(ctx context.Context, s fleet.Server, t Transmission) (engine.Head, CacheHandle, error)
 	// Release frees a KV cache that no engine will fetch.
 	Release(ctx context.Context, h CacheHandle) error
+	// Check opens a connection to the server and closes it. engine.Gone classifies its
+	// error.
+	Check(ctx context.Context, s fleet.Server) error
 }
 
 // Sink receives the response: either one call of WriteResponse, or WriteHead followed
@@ -148,11 +151,13 @@
 	Log      logr.Logger
 }
 
-// Observer counts attempts by outcome.
+// Observer counts attempts by outcome, and the checks that follow some of them.
 type Observer interface {
 	// ObserveAttempt counts one attempt at a server. timeToFirstOutput is 0 if there was
 	// no output.
 	ObserveAttempt(stage, outcome string, timeToFirstOutput time.Duration)
+	// ObserveCheck counts one request for which a server was checked, by the result.
+	ObserveCheck(result string)
 }
 
 // Relay serves routed requests.
@@ -161,6 +166,7 @@
 	inFlight   atomic.Int64
 	ending     *ending
 	successLog logSampler
+	checks     *ServerChecks
 }
 
 // New returns a Relay.
@@ -168,9 +174,12 @@
 	if o.LeaseNow == nil {
 		o.LeaseNow = clock.Now
 	}
-	return &Relay{Options: o, ending: newEnding()}
+	return &Relay{Options: o, ending: newEnding(), checks: newServerChecks(o.Backend.Check, o.Log)}
 }
 
+// Checks returns the service that checks whether servers have ended.
+func (r *Relay) Checks() *ServerChecks { return r.checks }
+
 // InFlight returns the number of requests being served.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
 
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -45,7 +45,7 @@
 	// held are the shared segments of the prompt; see heldSegments.
 	held []quarantine.Segment
 	// engineEnded is set once an engine has ended under the request.
-	engineEnded bool
+	engineEnded atomic.Bool
 	// cache is a prefilled KV cache that no engine has fetched yet. prefills counts the
 	// prefill calls.
 	cache    *CacheHandle
@@ -103,13 +103,13 @@
 		defer resp.Close()
 		outcome, err = r.deliver(lease, resp, watch)
 	}
-	switch {
-	case err == nil && outcome == placement.Answered:
-		r.Segments.Completed(r.heldSegments())
-	case err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)):
+	call := endedCall{lease: lease, answered: outcome == placement.Answered && err == nil, err: err, timedOut: timedOut(ctx, watch.ctx)}
+	if resp != nil {
+		call.head = resp.Head()
+	}
+	r.observe(call)
+	if err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)) {
 		outcome = placement.Abandoned
-	case outcome == placement.Lost && resp != nil:
-		r.observeLoss(lease, err)
 	}
 	return fault.Is(err, fault.Cancelled), err
 }
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -7,17 +7,16 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 )
 
 // SegmentObserver observes what requests show about the prompt segments that they hold.
 type SegmentObserver interface {
-	// Lost records that an engine ended under a request with these segments.
-	Lost(held []quarantine.Segment, s fleet.Server)
+	// Lost records that an engine ended under a request with these segments. Times are by
+	// the clock of leases.
+	Lost(held []quarantine.Segment, s fleet.Server, at time.Time)
 	// Completed records that a response to a request with these segments has completed, or
 	// that its output continues long after the first event.
-	Completed(held []quarantine.Segment)
+	Completed(held []quarantine.Segment, at time.Time)
 }
 
 // maxHeldSegments bounds the segments of one prompt that are observed. Those at its start
@@ -81,25 +80,8 @@
 	return err.WithRetryAfter(max(defaultRetry, time.Until(time.UnixMilli(entry.Until))))
 }
 
-// beginningTime is how long after its first output a response counts as one that begins.
-const beginningTime = 100 * time.Millisecond
-
-// observeLoss reports an engine that ended when it began to answer the request: it closed
-// the connection within the response, and no output or only the first had come. A
-// connection that is closed before the response may be one that the server had no room for,
-// and an engine that ends later has survived the prompt.
-func (r *requestRun) observeLoss(lease *placement.Lease, err error) {
-	if lease.SinceFirstOutput() > beginningTime || !engine.ClosedByPeer(err) {
-		return
-	}
-	if held := r.heldSegments(); len(held) > 0 {
-		r.engineEnded = true
-		r.Segments.Lost(held, lease.Server())
-	}
-}
-
 // mayCrashAnother reports whether an engine has ended under the request and others have
 // ended under one of its segments.
 func (r *requestRun) mayCrashAnother() bool {
-	return r.engineEnded && r.Views.Load().Segments.HasSuspect(r.heldSegments())
+	return r.engineEnded.Load() && r.Views.Load().Segments.HasSuspect(r.heldSegments())
 }
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -84,11 +84,12 @@
 
 		LogLinesDropped: requestRelay.LogLinesDropped,
 	}
-	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
+	for _, name := range []string{"engine", "placement", "admission", "addresses"} {
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
 	node.Service("segments", observer)
+	node.Service("relay", requestRelay.Checks())
 	node.Service("frontdoor", t.Server)
 	return t
 }
--- a/root/traffic/segments/observer.go
+++ b/root/traffic/segments/observer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
@@ -33,17 +32,17 @@
 }
 
 // Lost records that an engine ended under a request with these segments.
-func (o *Observer) Lost(held []quarantine.Segment, s fleet.Server) {
+func (o *Observer) Lost(held []quarantine.Segment, s fleet.Server, at time.Time) {
 	o.mu.Lock()
-	o.state.Lost(held, s.ID, s.Incarnation, clock.Now())
+	o.state.Lost(held, s.ID, s.Incarnation, at)
 	o.mu.Unlock()
 	o.wake()
 }
 
 // Completed records that a response to a request with these segments has completed.
-func (o *Observer) Completed(held []quarantine.Segment) {
+func (o *Observer) Completed(held []quarantine.Segment, at time.Time) {
 	o.mu.Lock()
-	o.state.Completed(held, clock.Now())
+	o.state.Completed(held, at)
 	o.mu.Unlock()
 	if v := o.views.Load(); v != nil && v.Segments.HasSuspect(held) {
 		o.wake()
