--- a/api/codec/peer.go
+++ b/api/codec/peer.go
@@ -128,7 +128,10 @@
 		Demands:       fromDemands(m.Demands),
 
 		SegmentLosses:     fromLosses(m.SegmentLosses),
-		CompletedSegments: fromSegments(m.CompletedSegments),
+		CompletedSegments: completedSegments(m.CompletedSegments),
+		CompletedAgeNanos: completionAges(m.CompletedSegments),
+		FailedProbes:      fromFailedProbes(m.FailedProbes),
+		ProbeRequests:     fromProbeRequests(m.ProbeRequests),
 		ServerDemands:     fromServerDemands(m.ServerDemands),
 	}
 	for _, h := range m.Heard {
@@ -153,7 +156,9 @@
 		Demands:       toDemands(p.Demands),
 
 		SegmentLosses:     toLosses(p.SegmentLosses),
-		CompletedSegments: toSegments(p.CompletedSegments),
+		CompletedSegments: toCompletions(p.CompletedSegments, p.CompletedAgeNanos),
+		FailedProbes:      toFailedProbes(p.FailedProbes),
+		ProbeRequests:     toProbeRequests(p.ProbeRequests),
 		ServerDemands:     toServerDemands(p.ServerDemands),
 	}
 	for _, h := range p.Heard {
@@ -172,7 +177,8 @@
 		Left:       m.Left,
 		Confirm:    m.Confirm,
 
-		ServerShares: fromServerShares(m.ServerShares),
+		ServerShares:  fromServerShares(m.ServerShares),
+		GrantedProbes: m.GrantedProbes,
 	}
 	update, err := fromUpdate(m.Update)
 	out.Update = update
@@ -189,7 +195,8 @@
 		Left:    p.Left,
 		Confirm: p.Confirm,
 
-		ServerShares: toServerShares(p.ServerShares),
+		ServerShares:  toServerShares(p.ServerShares),
+		GrantedProbes: p.GrantedProbes,
 	}
 	update, err := toUpdate(p.Update)
 	out.Update = update
--- a/root/control/loop/loop.go
+++ b/root/control/loop/loop.go
@@ -38,6 +38,11 @@
 	Halt func(*fault.Error)
 }
 
+// ProbeGrants receives the ids of the probes that may run. GrantProbes runs on the control
+// thread and must not block. The ids are all that may run now, those of running probes
+// included. A grant may be late: a request whose wait for it has ended must not use it.
+type ProbeGrants interface{ GrantProbes(ids []uint64) }
+
 // Loop is the service that runs the control thread.
 type Loop struct {
 	machine  *machine.Machine
@@ -48,6 +53,8 @@
 	nextID   atomic.Uint64
 	steps    atomic.Uint64
 	delay    *delayLog
+	// probeGrants is nil until one is set.
+	probeGrants atomic.Pointer[ProbeGrants]
 
 	results   *waiters[replicated.Result]
 	histories *waiters[machine.History]
@@ -157,6 +164,10 @@
 		l.handlers.SetShares(e.Shares)
 	case machine.SetServerShares:
 		l.handlers.SetServerShares(e.Shares)
+	case machine.GrantProbes:
+		if grants := l.probeGrants.Load(); grants != nil {
+			(*grants).GrantProbes(e.IDs)
+		}
 	case machine.Answer:
 		l.results.deliver(e.ID, e.Result)
 	case machine.IssueOrder:
@@ -186,6 +197,10 @@
 	}
 }
 
+// SetProbeGrants sets the receiver of the probes that may run. Without one, they are
+// discarded.
+func (l *Loop) SetProbeGrants(g ProbeGrants) { l.probeGrants.Store(&g) }
+
 // Post passes an event to the control thread. When the queue of the event is full, a
 // droppable event is dropped, and for a reliable one Post blocks until there is
 // space or ctx ends.
--- a/root/control/machine/message.go
+++ b/root/control/machine/message.go
@@ -40,7 +40,11 @@
 	// CompletedSegments the suspects with which a response has completed, both as far
 	// as the leader has not confirmed them.
 	SegmentLosses     []quarantine.Loss
-	CompletedSegments []quarantine.Segment
+	CompletedSegments []quarantine.Completion
+	// FailedProbes are those that the leader has not confirmed, and ProbeRequests all probes
+	// that the sender wants or is running. A granted probe that is not listed has ended.
+	FailedProbes  []quarantine.FailedProbe
+	ProbeRequests []quarantine.ProbeRequest
 	// ServerDemands are the sender's demands for backend servers that have named a limit.
 	ServerDemands []fleet.ServerDemand
 	// Replica is the consensus identity of the sender; empty if it runs no replica.
@@ -68,6 +72,8 @@
 	// Left is set once every other holder of a live lease has applied a view in which
 	// the receiver is leaving.
 	Left bool
+	// GrantedProbes are the ids of all of the receiver's probes that may run.
+	GrantedProbes []uint64
 	// Confirm asks the receiver to renew at once, after it has applied any Update.
 	Confirm bool
 }
@@ -153,9 +159,15 @@
 // since the last report.
 type SegmentReport struct {
 	Losses []quarantine.Loss
-	// Completed are the suspects of the view with which a response has completed since
-	// the first loss.
-	Completed []quarantine.Segment
+	// Completed are the last completions of suspects of the view later than their Since.
+	Completed []quarantine.Completion
+	// FailedProbes are the probes whose engine ended. The report that contains one no longer
+	// lists it in Probes.
+	FailedProbes []quarantine.FailedProbe
+	// Probes lists all probes that this process wants or is running, if ProbesChanged is
+	// set; at most quarantine.MaxProbes.
+	Probes        []quarantine.ProbeRequest
+	ProbesChanged bool
 }
 
 // Persisted reports that the batch with this sequence number is durable.
@@ -236,6 +248,10 @@
 // SetServerShares passes traffic its shares of the limits of backend servers.
 type SetServerShares struct{ Shares []fleet.ServerShare }
 
+// GrantProbes passes traffic the ids of all of its probes that may run. The same id may be
+// passed again.
+type GrantProbes struct{ IDs []uint64 }
+
 // Answer is the result of a Submit.
 type Answer struct {
 	ID     uint64
@@ -310,6 +326,7 @@
 func (Publish) effect()            {}
 func (SetShares) effect()          {}
 func (SetServerShares) effect()    {}
+func (GrantProbes) effect()        {}
 func (Answer) effect()             {}
 func (IssueOrder) effect()         {}
 func (EncodeSnapshot) effect()     {}
--- a/root/control/machine/segment_reports.go
+++ b/root/control/machine/segment_reports.go
@@ -21,7 +21,7 @@
 type segmentReports struct {
 	client    *leaseClient
 	losses    []reported[quarantine.Loss]
-	completed []reported[quarantine.Segment]
+	completed []reported[quarantine.Completion]
 }
 
 // reported is an observation with the time at which it was reported.
@@ -37,7 +37,7 @@
 		r.losses = append(r.losses, reported[quarantine.Loss]{l, now})
 	}
 	for _, s := range report.Completed {
-		r.completed = append(r.completed, reported[quarantine.Segment]{s, now})
+		r.completed = append(r.completed, reported[quarantine.Completion]{s, now})
 	}
 	r.losses = newest(r.losses)
 	r.completed = newest(r.completed)
@@ -50,9 +50,9 @@
 
 // unconfirmed returns the reports that the leader has not confirmed, and drops those
 // that are too old to be repeated.
-func (r *segmentReports) unconfirmed() ([]quarantine.Loss, []quarantine.Segment) {
+func (r *segmentReports) unconfirmed() ([]quarantine.Loss, []quarantine.Completion) {
 	r.losses = slices.DeleteFunc(r.losses, tooOld[quarantine.Loss](r.client.m.now))
-	r.completed = slices.DeleteFunc(r.completed, tooOld[quarantine.Segment](r.client.m.now))
+	r.completed = slices.DeleteFunc(r.completed, tooOld[quarantine.Completion](r.client.m.now))
 	return pending(r.client, r.losses), pending(r.client, r.completed)
 }
 
--- a/root/control/machine/segments.go
+++ b/root/control/machine/segments.go
@@ -29,8 +29,8 @@
 	for _, loss := range msg.SegmentLosses {
 		changed = s.tracker.ObserveLoss(loss, s.l.m.now) || changed
 	}
-	for _, segment := range msg.CompletedSegments {
-		changed = s.tracker.Clear(segment) || changed
+	for _, completion := range msg.CompletedSegments {
+		changed = s.tracker.Clear(completion.Segment) || changed
 	}
 	return changed
 }
--- a/root/control/quarantine/quarantine.go
+++ b/root/control/quarantine/quarantine.go
@@ -17,6 +17,9 @@
 
 const part = "control/quarantine"
 
+// MaxProbes bounds the probes that one process wants or is running.
+const MaxProbes = 64
+
 // Segment identifies a prompt segment of one service; see Key.
 type Segment uint64
 
@@ -47,6 +50,38 @@
 	// Since is the time of the first of the losses, by the local clock. A response that
 	// completes after it shows that engines survive the segment.
 	Since time.Time
+	// Probation is set after a quarantine. The segment is then gated at each entry, whatever
+	// has completed there before Since.
+	Probation bool
+}
+
+// Completion is the completion of a response to a prompt with a segment.
+type Completion struct {
+	Segment Segment
+	// At is when the response completed, by the local clock.
+	At time.Time
+}
+
+// ProbeRequest asks for the permission to send one request with suspects to an engine.
+type ProbeRequest struct {
+	// ID is unique in the process.
+	ID uint64
+	// Segments are the suspects of the request.
+	Segments []Segment
+	// GrantedAt is when the permission was given, by the local clock; zero before. Only the
+	// control thread sets it.
+	GrantedAt time.Time
+}
+
+// FailedProbe reports that an engine ended during a probe.
+type FailedProbe struct {
+	// Segments are the suspects of the request.
+	Segments []Segment
+	// Server and Incarnation identify the engine.
+	Server      string
+	Incarnation uint64
+	// At is when the connection to the engine was lost, by the local clock.
+	At time.Time
 }
 
 // Entry is a quarantined segment.
@@ -66,7 +101,7 @@
 func (l List) SameAs(other List) bool {
 	return slices.Equal(l.Quarantined, other.Quarantined) &&
 		slices.EqualFunc(l.Suspects, other.Suspects, func(a, b Suspect) bool {
-			return a.Segment == b.Segment && a.Since.Equal(b.Since)
+			return a.Segment == b.Segment && a.Since.Equal(b.Since) && a.Probation == b.Probation
 		})
 }
 
--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -92,8 +92,9 @@
 		if e == nil || !e.Value.(completion).at.After(suspect.Since) {
 			continue
 		}
+		at := e.Value.(completion).at
 		if since, reported := s.cleared[suspect.Segment]; !reported || !since.Equal(suspect.Since) {
-			report.Completed = append(report.Completed, suspect.Segment)
+			report.Completed = append(report.Completed, quarantine.Completion{Segment: suspect.Segment, At: at})
 		}
 		cleared[suspect.Segment] = suspect.Since
 	}
