--- a/root/metrics.go
+++ b/root/metrics.go
@@ -63,6 +63,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("wagtaildyke_server_checks_total{result=%q}", result)).Inc()
 }
 
+// ObserveProbe implements relay.Observer.
+func (m *metricSet) ObserveProbe(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("wagtaildyke_probes_total{result=%q}", result)).Inc()
+}
+
+// ObserveSuspectRefusal implements relay.Observer.
+func (m *metricSet) ObserveSuspectRefusal() {
+	m.set.GetOrCreateCounter("wagtaildyke_suspect_refusals_total").Inc()
+}
+
 // ObserveResponse counts a response to a caller by its HTTP status, which is 0 for a
 // truncated response.
 func (m *metricSet) ObserveResponse(status int, duration time.Duration) {
--- a/root/traffic/relay/deliver.go
+++ b/root/traffic/relay/deliver.go
@@ -66,7 +66,7 @@
 		lease.MarkFirstOutput()
 		watch.disarm()
 		if survival.due(time.Now()) {
-			r.Segments.Completed(r.heldSegments(), r.LeaseNow())
+			r.observeSurvival(lease)
 		}
 		send, err := r.position.accept(ev)
 		if err != nil {
--- a/root/traffic/relay/losses.go
+++ b/root/traffic/relay/losses.go
@@ -8,6 +8,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
 )
 
 // beginningTime is how long after its first output a response counts as one that begins.
@@ -35,6 +36,8 @@
 // endedCall is one call of an engine that has ended.
 type endedCall struct {
 	lease *placement.Lease
+	// probe is the probe as which the call was sent; nil for none.
+	probe *segments.Probe
 	// head is that of the response; its status is 0 without a response.
 	head engine.Head
 	// answered is set if the response was delivered completely.
@@ -86,33 +89,81 @@
 	return watched.Err() != nil
 }
 
+// takeProbe returns the probe if it has been sent; its result then ends it.
+func (r *requestRun) takeProbe() *segments.Probe {
+	if !r.probeSent {
+		return nil
+	}
+	probe := r.probe
+	r.probe = nil
+	return probe
+}
+
+// observeSurvival reports that output has lasted long enough to show that the engine
+// survives the prompt.
+func (r *requestRun) observeSurvival(lease *placement.Lease) {
+	r.Segments.Completed(r.heldSegments(), r.LeaseNow())
+	if probe := r.takeProbe(); probe != nil {
+		r.Segments.EndProbe(probe)
+		r.logProbe(probe, probeCompleted, lease.Server().ID)
+	}
+}
+
 // observe reports what an ended call shows about the shared segments of the prompt. The
 // server is checked in the background where that depends on whether it has ended.
 func (r *requestRun) observe(e endedCall) {
-	held, shown, at := r.heldSegments(), e.evidence(), r.LeaseNow()
-	if len(held) == 0 {
+	if len(r.heldSegments()) == 0 {
 		return
 	}
+	shown, at := e.evidence(), r.LeaseNow()
+	if shown != survivedIfAccepting && shown != lostIfGone {
+		r.conclude(e, shown, at)
+		return
+	}
+	report := func(result CheckResult, dialErr error) {
+		result = withStanding(result, e.lease.Standing())
+		r.logCheck(e, shown, result, dialErr)
+		switch {
+		case result == Gone:
+			r.conclude(e, lost, at)
+		case result == Accepting && shown == survivedIfAccepting:
+			r.conclude(e, survived, at)
+		default:
+			r.conclude(e, noEvidence, at)
+		}
+	}
+	if !r.checks.request(e.lease.Server(), report) {
+		report(Unchecked, nil)
+	}
+}
+
+// conclude reports what a call has shown at the given time, and ends its probe. It runs
+// after the request for calls that needed a check. An engine whose stop was planned is not
+// reported as lost.
+func (r *requestRun) conclude(e endedCall, shown evidence, at time.Time) {
+	server := e.lease.Server()
+	if shown == lost && e.lease.Standing() == placement.Departed {
+		shown = noEvidence
+	}
+	result := probeNoResult
 	switch shown {
 	case survived:
-		r.Segments.Completed(held, at)
+		r.Segments.Completed(r.held, at)
+		result = probeCompleted
 	case lost:
-		r.observeLoss(e.lease, at)
-	case survivedIfAccepting, lostIfGone:
-		report := func(result CheckResult, dialErr error) {
-			result = withStanding(result, e.lease.Standing())
-			r.logCheck(e, shown, result, dialErr)
-			switch {
-			case result == Gone:
-				r.observeLoss(e.lease, at)
-			case result == Accepting && shown == survivedIfAccepting:
-				r.Segments.Completed(held, at)
-			}
-		}
-		if !r.checks.request(e.lease.Server(), report) {
-			report(Unchecked, nil)
-		}
+		r.engineEnded.Store(true)
+		r.Segments.Lost(r.held, server, at)
+		result = probeFailed
+	}
+	if e.probe == nil {
+		return
 	}
+	if result == probeFailed {
+		r.Segments.FailProbe(e.probe, server, at)
+	} else {
+		r.Segments.EndProbe(e.probe)
+	}
+	r.logProbe(e.probe, result, server.ID)
 }
 
 // withStanding corrects the result of a check by what the view says of the server: after a
@@ -129,15 +180,6 @@
 	}
 }
 
-// observeLoss reports an engine that ended under the request, unless its stop was planned.
-func (r *requestRun) observeLoss(lease *placement.Lease, at time.Time) {
-	if lease.Standing() == placement.Departed {
-		return
-	}
-	r.engineEnded.Store(true)
-	r.Segments.Lost(r.heldSegments(), lease.Server(), at)
-}
-
 // logCheck counts and logs the result of a check for this request. Complete responses are
 // sampled in the log.
 func (r *requestRun) logCheck(e endedCall, shown evidence, result CheckResult, dialErr error) {
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -37,6 +35,12 @@
 		r.segments = hashSegments(r.req.Prompt)
 	}
 	r.requiredServer = ""
+	if r.probe != nil {
+		// A probe runs whole on one engine.
+		r.releaseCache()
+		r.cache = nil
+		return nil
+	}
 	if r.cache != nil || r.service.Engine == nil || r.prefills >= maxPrefills {
 		return nil
 	}
@@ -60,7 +64,7 @@
 	}
 	outcome := placement.Lost
 	defer func() { r.endAttempt(lease, outcome, err) }()
-	if err := r.checkQuarantine(); err != nil {
+	if err := r.checkSuspects(); err != nil {
 		outcome = placement.Abandoned
 		return err
 	}
@@ -90,8 +94,7 @@
 func (r *requestRun) prefillFailed(server string, err error) {
 	r.exclude = append(r.exclude, server)
 	r.Log.V(1).Info("prefill failed", "request", r.req.ID, "server", server, "reason", err.Error())
-	var send *engine.SendError
-	if errors.As(err, &send) && send.NotSent {
+	if notSent(err) {
 		return
 	}
 	r.transmissions++
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -151,13 +151,17 @@
 	Log      logr.Logger
 }
 
-// Observer counts attempts by outcome, and the checks that follow some of them.
+// Observer counts attempts by outcome, checks of servers, and what suspects cause.
 type Observer interface {
 	// ObserveAttempt counts one attempt at a server. timeToFirstOutput is 0 if there was
 	// no output.
 	ObserveAttempt(stage, outcome string, timeToFirstOutput time.Duration)
 	// ObserveCheck counts one request for which a server was checked, by the result.
 	ObserveCheck(result string)
+	// ObserveProbe counts one probe that was granted, by its result.
+	ObserveProbe(result string)
+	// ObserveSuspectRefusal counts one request that was refused for a suspect.
+	ObserveSuspectRefusal()
 }
 
 // Relay serves routed requests.
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
 )
 
 // extraAttempts is the number of attempts that a request may make beyond the route's
@@ -50,6 +51,12 @@
 	// prefill calls.
 	cache    *CacheHandle
 	prefills int
+	// probe is the probe as which the request is sent, or for whose permission it waits; nil
+	// for none. probeSent is set once it may have reached an engine.
+	probe     *segments.Probe
+	probeSent bool
+	// waited is the time for which the request has waited for suspects.
+	waited time.Duration
 	// retryReserved is set when the watchdog has taken a retry from the retry budget,
 	// and cleared when send uses it.
 	retryReserved atomic.Bool
@@ -64,6 +71,7 @@
 
 func (r *requestRun) serve(ctx context.Context) error {
 	defer r.releaseCache()
+	defer func() { r.endProbe(probeNoResult) }()
 	var last *fault.Error
 	for range extraAttempts + r.route.MaxAttempts {
 		done, err := r.attempt(ctx)
@@ -71,6 +79,9 @@
 			return err
 		}
 		last = fault.From(err)
+		if errors.Is(err, errSuspect) {
+			continue
+		}
 		if !r.mayRetry(ctx, last) {
 			break
 		}
@@ -84,10 +95,12 @@
 // which says nothing about the server, if ctx has ended or the retry budget does not
 // permit sending the request.
 func (r *requestRun) attempt(ctx context.Context) (done bool, err error) {
-	if err := r.checkQuarantine(); err != nil {
+	if err := r.awaitSuspects(ctx); err != nil {
 		return true, r.finalError(ctx, err)
 	}
-	if err := r.prefill(ctx); err != nil {
+	if err := r.prefill(ctx); errors.Is(err, errSuspect) {
+		return false, err
+	} else if err != nil {
 		return true, r.finalError(ctx, fault.From(err))
 	}
 	lease, err := r.Placer.Place(ctx, r.placementRequest())
@@ -103,7 +116,7 @@
 		defer resp.Close()
 		outcome, err = r.deliver(lease, resp, watch)
 	}
-	call := endedCall{lease: lease, answered: outcome == placement.Answered && err == nil, err: err, timedOut: timedOut(ctx, watch.ctx)}
+	call := endedCall{lease: lease, probe: r.takeProbe(), answered: outcome == placement.Answered && err == nil, err: err, timedOut: timedOut(ctx, watch.ctx)}
 	if resp != nil {
 		call.head = resp.Head()
 	}
@@ -111,6 +124,9 @@
 	if err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)) {
 		outcome = placement.Abandoned
 	}
+	if err != nil && r.probeSent {
+		return true, r.finalError(ctx, fault.From(err))
+	}
 	return fault.Is(err, fault.Cancelled), err
 }
 
@@ -190,13 +206,19 @@
 // before, it needs a retry from the retry budget.
 func (r *requestRun) send(ctx context.Context, lease *placement.Lease) (Response, error) {
 	server := lease.Server()
-	if err := r.checkQuarantine(); err != nil {
+	if err := r.checkSuspects(); err != nil {
 		return nil, err
 	}
 	if r.transmissions > 0 && !r.retryReserved.Swap(false) && !r.RetryBudget.Take(r.service.Name, time.Now()) {
 		return nil, r.errRetryBudget()
 	}
-	resp, err := r.Backend.Send(ctx, server, r.transmission(lease.Decision().CopyFrom))
+	copyFrom := lease.Decision().CopyFrom
+	if r.probe != nil {
+		// A probe reaches one engine only.
+		copyFrom = ""
+	}
+	resp, err := r.Backend.Send(ctx, server, r.transmission(copyFrom))
+	r.probeSent = r.probe != nil && !notSent(err)
 	if err == nil {
 		r.observeNotice(lease, resp.Head())
 		r.transmissions++
@@ -250,8 +272,7 @@
 func (r *requestRun) sendFailed(server string, err error) *fault.Error {
 	r.exclude = append(r.exclude, server)
 	failed := fault.Wrap(err, fault.BackendFailed, part, "request to server %s failed", server)
-	var send *engine.SendError
-	if errors.As(err, &send) && send.NotSent {
+	if notSent(err) {
 		return failed.WithRan(fault.RanNo)
 	}
 	r.transmissions++
@@ -260,6 +281,12 @@
 	return failed.WithRan(fault.RanUnknown)
 }
 
+// notSent reports whether an error of a Backend shows that nothing of the request was sent.
+func notSent(err error) bool {
+	var send *engine.SendError
+	return errors.As(err, &send) && send.NotSent
+}
+
 func (r *requestRun) attemptsLeft() bool { return r.transmissions < max(1, r.route.MaxAttempts) }
 
 // mayRetry reports whether the request may be sent to another server after a failure.
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -7,6 +7,7 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
 )
 
 // SegmentObserver observes what requests show about the prompt segments that they hold.
@@ -17,6 +18,15 @@
 	// Completed records that a response to a request with these segments has completed, or
 	// that its output continues long after the first event.
 	Completed(held []quarantine.Segment, at time.Time)
+	// Survives reports whether responses that completed at this entry show that engines
+	// survive a suspect.
+	Survives(suspect quarantine.Suspect) bool
+	// RequestProbe requests the permission to send one request with these suspects. EndProbe
+	// or FailProbe ends the probe or the wait for its permission. FailProbe records the
+	// engine that ended during the probe.
+	RequestProbe(suspects []quarantine.Segment) *segments.Probe
+	EndProbe(p *segments.Probe)
+	FailProbe(p *segments.Probe, s fleet.Server, at time.Time)
 }
 
 // maxHeldSegments bounds the segments of one prompt that are observed. Those at its start
@@ -47,9 +57,9 @@
 	if r.held != nil || r.service.Engine == nil {
 		return r.held
 	}
-	segments := r.req.Prompt.Segments
-	for i := range min(len(segments)-1, maxHeldSegments) {
-		if key := quarantine.Key(r.service.Name, segments[i].ID); !slices.Contains(r.held, key) {
+	prompt := r.req.Prompt.Segments
+	for i := range min(len(prompt)-1, maxHeldSegments) {
+		if key := quarantine.Key(r.service.Name, prompt[i].ID); !slices.Contains(r.held, key) {
 			r.held = append(r.held, key)
 		}
 	}
@@ -60,9 +70,9 @@
 // and the key under which views and errors name it.
 func (r *requestRun) segmentNames() []string {
 	var out []string
-	segments := r.req.Prompt.Segments
-	for i := range min(len(segments)-1, maxHeldSegments) {
-		out = append(out, segments[i].ID+"="+quarantine.Key(r.service.Name, segments[i].ID).String())
+	prompt := r.req.Prompt.Segments
+	for i := range min(len(prompt)-1, maxHeldSegments) {
+		out = append(out, prompt[i].ID+"="+quarantine.Key(r.service.Name, prompt[i].ID).String())
 	}
 	return out
 }
--- a/root/traffic/relay/watchdog.go
+++ b/root/traffic/relay/watchdog.go
@@ -17,7 +17,7 @@
 // watchdog cancels an attempt at an idempotent request that produces no output in time,
 // provided that MaxAttempts and the retry budget permit another attempt. A stream that
 // has begun is never cancelled for a pause: its first event disarms the watchdog, and
-// an attempt that resumes it has no timer.
+// an attempt that resumes it has no timer. Neither has a probe, which is never retried.
 type watchdog struct {
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watchdog{ctx: ctx, cancel: cancel}
 	another := r.transmissions+1 < r.route.MaxAttempts
-	if another && r.route.Idempotent() && !r.headSent {
+	if another && r.route.Idempotent() && !r.headSent && r.probe == nil {
 		timeout := time.Duration(watchdogShare * float64(time.Until(r.deadline)))
 		w.timer = time.AfterFunc(max(minWatchdogTimeout, timeout), func() { r.cancelForRetry(cancel) })
 	}
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -64,6 +64,7 @@
 	node := o.Parent.Supervisor("traffic")
 	transport := engine.NewTransport()
 	observer := segments.NewObserver(o.Loop, o.Views)
+	o.Loop.SetProbeGrants(observer)
 	requestRelay := relay.New(relay.Options{
 		Views:        o.Views,
 		Placer:       o.Placer,
--- a/root/traffic/segments/observer.go
+++ b/root/traffic/segments/observer.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
-	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
@@ -15,10 +15,15 @@
 // minReportInterval is the least time between two reports.
 const minReportInterval = 50 * time.Millisecond
 
+// Control takes events for the control thread.
+type Control interface {
+	Post(ctx context.Context, ev machine.Event) error
+}
+
 // Observer collects the observations of requests and reports them to the control thread.
 type Observer struct {
-	loop  *loop.Loop
-	views *view.Store
+	control Control
+	views   *view.Store
 
 	mu    sync.Mutex
 	state *State
@@ -26,17 +31,16 @@
 	pending chan struct{}
 }
 
-// NewObserver returns an Observer.
-func NewObserver(l *loop.Loop, views *view.Store) *Observer {
-	return &Observer{loop: l, views: views, state: NewState(), pending: make(chan struct{}, 1)}
+// NewObserver returns an Observer. The leader tells the probes of a process from those of
+// its predecessor by their ids, which therefore begin with the time in nanoseconds.
+func NewObserver(control Control, views *view.Store) *Observer {
+	state := NewState(uint64(clock.Now().UnixNano()))
+	return &Observer{control: control, views: views, state: state, pending: make(chan struct{}, 1)}
 }
 
 // Lost records that an engine ended under a request with these segments.
 func (o *Observer) Lost(held []quarantine.Segment, s fleet.Server, at time.Time) {
-	o.mu.Lock()
-	o.state.Lost(held, s.ID, s.Incarnation, at)
-	o.mu.Unlock()
-	o.wake()
+	o.update(func() { o.state.Lost(held, s.ID, s.Incarnation, at) })
 }
 
 // Completed records that a response to a request with these segments has completed.
@@ -49,6 +53,41 @@
 	}
 }
 
+// Survives reports whether the suspect needs no probe at this entry; see State.Survives.
+func (o *Observer) Survives(suspect quarantine.Suspect) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Survives(suspect)
+}
+
+// RequestProbe requests the permission to send one request with these suspects. EndProbe or
+// FailProbe must be called for the result.
+func (o *Observer) RequestProbe(suspects []quarantine.Segment) (p *Probe) {
+	o.update(func() { p = o.state.RequestProbe(suspects) })
+	return p
+}
+
+// GrantProbes implements loop.ProbeGrants.
+func (o *Observer) GrantProbes(ids []uint64) {
+	o.update(func() { o.state.GrantProbes(ids, clock.Now()) })
+}
+
+// EndProbe ends a probe, or the wait for its permission. Later calls do nothing.
+func (o *Observer) EndProbe(p *Probe) { o.update(func() { o.state.EndProbe(p) }) }
+
+// FailProbe ends a probe under which an engine ended. It does nothing after EndProbe.
+func (o *Observer) FailProbe(p *Probe, s fleet.Server, at time.Time) {
+	o.update(func() { o.state.FailProbe(p, s.ID, s.Incarnation, at) })
+}
+
+// update changes the state and has the change reported.
+func (o *Observer) update(change func()) {
+	o.mu.Lock()
+	change()
+	o.mu.Unlock()
+	o.wake()
+}
+
 func (o *Observer) wake() {
 	select {
 	case o.pending <- struct{}{}:
@@ -68,8 +107,9 @@
 		case <-pause.C:
 		}
 		changed := o.views.Changed()
+		reportedAt := time.Now()
 		if report, ok := o.report(); ok {
-			if err := o.loop.Post(ctx, report); err != nil {
+			if err := o.control.Post(ctx, report); err != nil {
 				return err
 			}
 		}
@@ -79,7 +119,7 @@
 		case <-o.pending:
 		case <-changed:
 		}
-		pause.Reset(minReportInterval)
+		pause.Reset(minReportInterval - time.Since(reportedAt))
 	}
 }
 
--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -1,7 +1,7 @@
 // Package segments observes what this entry's requests show about the prompt segments
-// that they hold: engines that ended under them, and responses that completed. State does
-// no I/O and reads no clock; Observer makes it safe for concurrent use and reports to the
-// control thread.
+// that they hold: engines that ended under them, and responses that completed. It also asks
+// for the permission to probe suspects. State does no I/O and reads no clock; Observer makes
+// it safe for concurrent use and reports to the control thread.
 package segments
 
 import (
@@ -19,6 +19,10 @@
 	// maxLosses bounds the losses of one report. Further ones are dropped: a crash
 	// implicates a few segments, and the same ones are lost with other engines.
 	maxLosses = 256
+	// survivalMemory is how long before a suspicion a response may have completed to show
+	// that engines survive the segment. Popular segments so stay in service when a rack is
+	// lost under them.
+	survivalMemory = 5 * time.Second
 )
 
 // State holds the observations of one entry.
@@ -28,6 +32,8 @@
 	completions map[quarantine.Segment]*list.Element
 	recent      *list.List
 	losses      []quarantine.Loss
+	failed      []quarantine.FailedProbe
+	probes      probes
 	// cleared holds the suspects that were reported as completed, with their Since. The
 	// control thread repeats a report until the leader has it.
 	cleared map[quarantine.Segment]time.Time
@@ -39,9 +45,9 @@
 	at      time.Time
 }
 
-// NewState returns a state without observations.
-func NewState() *State {
-	return &State{completions: map[quarantine.Segment]*list.Element{}, recent: list.New()}
+// NewState returns a state without observations. The ids of probes count up from firstID.
+func NewState(firstID uint64) *State {
+	return &State{completions: map[quarantine.Segment]*list.Element{}, recent: list.New(), probes: probes{nextID: firstID}}
 }
 
 // Lost records that an engine ended under a request with these segments.
@@ -80,12 +86,40 @@
 	}
 }
 
-// Report returns the losses since the last report, and the suspects with which a
-// response has completed since they were first lost, each once while it is a suspect. It
-// reports false if there are neither.
+// Survives reports whether a response with the suspect has completed here so shortly before
+// the suspicion, or after it, that the loss of the engines must have had another reason. For
+// a segment on probation this is unknown.
+func (s *State) Survives(suspect quarantine.Suspect) bool {
+	e := s.completions[suspect.Segment]
+	return e != nil && !suspect.Probation && e.Value.(completion).at.After(suspect.Since.Add(-survivalMemory))
+}
+
+// RequestProbe requests the permission to send one request with these suspects. EndProbe or
+// FailProbe must be called for the result.
+func (s *State) RequestProbe(suspects []quarantine.Segment) *Probe { return s.probes.request(suspects) }
+
+// GrantProbes permits the probes with these ids.
+func (s *State) GrantProbes(ids []uint64, now time.Time) { s.probes.grant(ids, now) }
+
+// EndProbe ends a probe, or the wait for its permission. Later calls do nothing.
+func (s *State) EndProbe(p *Probe) { s.probes.end(p) }
+
+// FailProbe ends a probe under which an engine ended. It does nothing after EndProbe.
+func (s *State) FailProbe(p *Probe, server string, incarnation uint64, at time.Time) {
+	if s.probes.end(p) {
+		s.failed = append(s.failed, quarantine.FailedProbe{Segments: p.suspects, Server: server, Incarnation: incarnation, At: at})
+	}
+}
+
+// Report returns the losses and failed probes since the last report, the suspects with which
+// a response has completed since they were first lost, each once while it is a suspect, and
+// all probes if they have changed. It reports false if there is none of these.
 func (s *State) Report(suspects []quarantine.Suspect) (machine.SegmentReport, bool) {
-	report := machine.SegmentReport{Losses: s.losses}
-	s.losses = nil
+	report := machine.SegmentReport{Losses: s.losses, FailedProbes: s.failed, ProbesChanged: s.probes.changed}
+	if s.probes.changed {
+		report.Probes = s.probes.list()
+	}
+	s.losses, s.failed, s.probes.changed = nil, nil, false
 	cleared := make(map[quarantine.Segment]time.Time, len(s.cleared))
 	for _, suspect := range suspects {
 		e := s.completions[suspect.Segment]
@@ -99,5 +133,5 @@
 		cleared[suspect.Segment] = suspect.Since
 	}
 	s.cleared = cleared
-	return report, len(report.Losses) > 0 || len(report.Completed) > 0
+	return report, len(report.Losses)+len(report.FailedProbes)+len(report.Completed) > 0 || report.ProbesChanged
 }
