--- a/root/traffic/relay/gate.go
+++ b/root/traffic/relay/gate.go
@@ -42,7 +42,7 @@
 // segment of the prompt has become a suspect. The next attempt waits for it.
 func (r *requestRun) errHeldBack() *fault.Error {
 	err := fault.Wrap(errSuspect, fault.Quarantined, part, "service %q", r.service.Name)
-	return err.WithRan(r.ran).WithRetryAfter(suspectRetry)
+	return err.WithRetryAfter(suspectRetry)
 }
 
 // suspects returns the segments of the prompt that keep the request from engines unless it
@@ -63,7 +63,7 @@
 
 // awaitSuspects returns nil once the request may be placed: no segment of its prompt is a
 // suspect, or it may be sent as a probe, which is then r.probe. It waits for that, for at most
-// the time that suspectWait returns. An error says whether the request has run.
+// the time that suspectWait returns.
 func (r *requestRun) awaitSuspects(ctx context.Context) *fault.Error {
 	if err := r.checkQuarantine(); err != nil {
 		return err
