--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -7,17 +7,26 @@
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
 )
 
 // SegmentObserver observes what requests show about the prompt segments that they hold.
 type SegmentObserver interface {
-	// Lost records that an engine ended under a request with these segments.
-	Lost(held []quarantine.Segment, s fleet.Server)
+	// Lost records that an engine ended under a request with these segments. Times are by
+	// the clock of leases.
+	Lost(held []quarantine.Segment, s fleet.Server, at time.Time)
 	// Completed records that a response to a request with these segments has completed, or
 	// that its output continues long after the first event.
-	Completed(held []quarantine.Segment)
+	Completed(held []quarantine.Segment, at time.Time)
+	// Survives reports whether responses that completed at this entry show that engines
+	// survive a suspect.
+	Survives(suspect quarantine.Suspect) bool
+	// RequestProbe requests the permission to send one request with these suspects. EndProbe
+	// or FailProbe ends the probe or the wait for its permission. FailProbe records the
+	// engine that ended during the probe.
+	RequestProbe(suspects []quarantine.Segment) *segments.Probe
+	EndProbe(p *segments.Probe)
+	FailProbe(p *segments.Probe, s fleet.Server, at time.Time)
 }
 
 // maxHeldSegments bounds the segments of one prompt that are observed. Those at its start
@@ -48,9 +57,9 @@
 	if r.held != nil || r.service.Engine == nil {
 		return r.held
 	}
-	segments := r.req.Prompt.Segments
-	for i := range min(len(segments)-1, maxHeldSegments) {
-		if key := quarantine.Key(r.service.Name, segments[i].ID); !slices.Contains(r.held, key) {
+	prompt := r.req.Prompt.Segments
+	for i := range min(len(prompt)-1, maxHeldSegments) {
+		if key := quarantine.Key(r.service.Name, prompt[i].ID); !slices.Contains(r.held, key) {
 			r.held = append(r.held, key)
 		}
 	}
@@ -61,9 +70,9 @@
 // and the key under which views and errors name it.
 func (r *requestRun) segmentNames() []string {
 	var out []string
-	segments := r.req.Prompt.Segments
-	for i := range min(len(segments)-1, maxHeldSegments) {
-		out = append(out, segments[i].ID+"="+quarantine.Key(r.service.Name, segments[i].ID).String())
+	prompt := r.req.Prompt.Segments
+	for i := range min(len(prompt)-1, maxHeldSegments) {
+		out = append(out, prompt[i].ID+"="+quarantine.Key(r.service.Name, prompt[i].ID).String())
 	}
 	return out
 }
@@ -81,25 +90,8 @@
 	return err.WithRetryAfter(max(defaultRetry, time.Until(time.UnixMilli(entry.Until))))
 }
 
-// beginningTime is how long after its first output a response counts as one that begins.
-const beginningTime = 100 * time.Millisecond
-
-// observeLoss reports an engine that ended when it began to answer the request: it closed
-// the connection within the response, and no output or only the first had come. A
-// connection that is closed before the response may be one that the server had no room for,
-// and an engine that ends later has survived the prompt.
-func (r *requestRun) observeLoss(lease *placement.Lease, err error) {
-	if lease.SinceFirstOutput() > beginningTime || !engine.ClosedByPeer(err) {
-		return
-	}
-	if held := r.heldSegments(); len(held) > 0 {
-		r.engineEnded = true
-		r.Segments.Lost(held, lease.Server())
-	}
-}
-
 // mayCrashAnother reports whether an engine has ended under the request and others have
 // ended under one of its segments.
 func (r *requestRun) mayCrashAnother() bool {
-	return r.engineEnded && r.Views.Load().Segments.HasSuspect(r.heldSegments())
+	return r.engineEnded.Load() && r.Views.Load().Segments.HasSuspect(r.heldSegments())
 }
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -64,6 +64,7 @@
 	node := o.Parent.Supervisor("traffic")
 	transport := engine.NewTransport()
 	observer := segments.NewObserver(o.Loop, o.Views)
+	o.Loop.SetProbeGrants(observer)
 	requestRelay := relay.New(relay.Options{
 		Views:        o.Views,
 		Placer:       o.Placer,
@@ -84,11 +85,12 @@
 
 		LogLinesDropped: requestRelay.LogLinesDropped,
 	}
-	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
+	for _, name := range []string{"engine", "placement", "admission", "addresses"} {
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
 	node.Service("segments", observer)
+	node.Service("relay", requestRelay.Checks())
 	node.Service("frontdoor", t.Server)
 	return t
 }
