--- a/api/codec/routes.go
+++ b/api/codec/routes.go
@@ -14,6 +14,7 @@
 		Limits:   fromCallerLimits(d.Limits),
 		Routes:   fromRouteList(d.Routes),
 		Services: fromServices(d.Services),
+		Tenants:  fromTenants(d.Tenants),
 	}
 }
 
@@ -24,6 +25,9 @@
 		Set:      fromRouteList(d.Set),
 		Services: fromServices(d.Services),
 		Limits:   fromCallerLimits(d.Limits),
+
+		SetTenants:     fromTenants(d.SetTenants),
+		RemovedTenants: d.RemovedTenants,
 	}
 	for _, p := range d.Removed {
 		out.Removed = append(out.Removed, &api.RoutePlace{Host: p.Host, Prefix: p.Prefix})
@@ -74,6 +78,7 @@
 		MaxAttempts:    int64(r.MaxAttempts),
 		Prompt:         r.DescribesPrompt,
 		Resumable:      r.Resumable,
+		Public:         r.Public,
 	}
 	for _, s := range r.Split {
 		out.Split = append(out.Split, &api.LogSplit{Service: s.Service, Weight: int64(s.Weight)})
@@ -103,12 +108,17 @@
 	if err != nil {
 		return nil, err
 	}
+	tenants, err := toTenants(m.Tenants)
+	if err != nil {
+		return nil, err
+	}
 	return &routes.Document{
 		Version:  m.Version,
 		Source:   m.Source,
 		Limits:   toCallerLimits(m.Limits),
 		Routes:   list,
 		Services: toServices(m.Services),
+		Tenants:  tenants,
 	}, nil
 }
 
@@ -117,12 +127,19 @@
 	if err != nil {
 		return nil, err
 	}
+	tenants, err := toTenants(m.SetTenants)
+	if err != nil {
+		return nil, err
+	}
 	out := &routes.Delta{
 		From:     m.From,
 		Version:  m.Version,
 		Set:      set,
 		Services: toServices(m.Services),
 		Limits:   toCallerLimits(m.Limits),
+
+		SetTenants:     tenants,
+		RemovedTenants: m.RemovedTenants,
 	}
 	for _, p := range m.Removed {
 		out.Removed = append(out.Removed, routes.Key{Host: p.GetHost(), Prefix: p.GetPrefix()})
@@ -181,6 +198,7 @@
 		MaxAttempts:      int(m.MaxAttempts),
 		DescribesPrompt:  m.Prompt,
 		Resumable:        m.Resumable,
+		Public:           m.Public,
 	}
 	for _, s := range m.Split {
 		out.Split = append(out.Split, routes.WeightedService{Service: s.Service, Weight: int(s.Weight)})
--- a/api/codec/routes_test.go
+++ b/api/codec/routes_test.go
@@ -33,6 +33,8 @@
 	c := qt.New(t)
 	d := manyRoutes(3)
 	d.Limits = routes.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4}
+	d.Routes[1].Public = true
+	d.Tenants = append(manyTenants(2), routes.Tenant{Name: "without keys"})
 	data, err := codec.EncodeCommand(replicated.ReplaceRoutes{Document: d, At: 5})
 	c.Assert(err, qt.IsNil)
 	back, err := codec.DecodeCommand(data)
--- a/root/control/routes/delta.go
+++ b/root/control/routes/delta.go
@@ -19,11 +19,17 @@
 	// Services and Limits are the complete ones of the later version.
 	Services []Service
 	Limits   Limits
+	// SetTenants holds the new and changed tenants, RemovedTenants the names of the
+	// removed ones. Few tenants change at once, and the digests of all keys of a large
+	// document don't compress.
+	SetTenants     []Tenant
+	RemovedTenants []string
 }
 
 // Diff returns the delta between two documents.
 func Diff(from, to *Document) *Delta {
 	d := &Delta{From: from.Version, Version: to.Version, Services: to.Services, Limits: to.Limits}
+	d.SetTenants, d.RemovedTenants = diffTenants(from.Tenants, to.Tenants)
 	unmatched := make(map[Key]*Route, len(from.Routes))
 	for i := range from.Routes {
 		r := &from.Routes[i]
@@ -46,7 +52,8 @@
 	return d
 }
 
-// Apply returns the later document; the order of its routes is unspecified. It
+// Apply returns the later document; the order of its routes and tenants is
+// unspecified. It
 // returns false if from isn't the version that the delta starts from.
 func (d *Delta) Apply(from *Document) (*Document, bool) {
 	if from == nil || from.Version != d.From {
@@ -66,5 +73,6 @@
 		}
 	}
 	out.Routes = append(out.Routes, d.Set...)
+	out.Tenants = applyTenants(from.Tenants, d.SetTenants, d.RemovedTenants)
 	return out, true
 }
--- a/root/control/routes/routes.go
+++ b/root/control/routes/routes.go
@@ -62,6 +62,8 @@
 	DescribesPrompt bool
 	// Resumable is set if a stream may be resumed on another backend server.
 	Resumable bool
+	// Public is set if requests need no key of a tenant.
+	Public bool
 	// Split distributes the requests over services by weight.
 	Split []WeightedService
 }
@@ -119,14 +121,17 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
-// Document is one version of the routes, services and limits. It is immutable.
+// Document is one version of the routes, services, limits and tenants. It is immutable.
 type Document struct {
 	Version  uint64
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Source is the document as the operator sent it. It is empty in the copies that
-	// the leader sends to the VMs.
+	// Tenants are the owners of the keys that requests need, except those of public
+	// routes. Without tenants no request needs a key.
+	Tenants []Tenant
+	// Source is the document as the operator sent it, with the keys of the tenants. It is
+	// empty in the copies that the leader sends to the VMs.
 	Source []byte
 }
 
--- a/root/control/routes/validate.go
+++ b/root/control/routes/validate.go
@@ -36,7 +36,7 @@
 		}
 		keys[key] = true
 	}
-	return nil
+	return validateTenants(d.Tenants)
 }
 
 func (r *Route) validate(services map[string]bool) *fault.Error {
