--- a/root/metrics.go
+++ b/root/metrics.go
@@ -29,6 +29,7 @@
 		"wagtaildyke_view_lease_seconds":   func() float64 { return p.viewOrEmpty().LeaseUntil.Sub(clock.Now()).Seconds() },
 		"wagtaildyke_backend_servers":      func() float64 { return float64(len(p.viewOrEmpty().Servers)) },
 		"wagtaildyke_routes_version":       p.routesVersion,
+		"wagtaildyke_tenants":              p.tenants,
 		"wagtaildyke_quarantined_segments": func() float64 { return float64(len(p.viewOrEmpty().Segments.Quarantined)) },
 		"wagtaildyke_peer_sessions":        func() float64 { return float64(p.mesh.Stats().Sessions) },
 		"wagtaildyke_peer_sent_bytes":      func() float64 { return float64(p.mesh.Stats().SentBytes) },
@@ -36,6 +37,7 @@
 	}
 	if p.listeners.Platform.Frontend != nil {
 		out["wagtaildyke_log_lines_dropped"] = func() float64 { return float64(p.routed.LogLinesDropped()) }
+		out["wagtaildyke_refused_keys_total"] = func() float64 { return float64(p.routed.RefusedKeys()) }
 		out["wagtaildyke_in_flight"] = func() float64 { return float64(p.routed.InFlight()) }
 		out["wagtaildyke_backend_connections_opened"] = func() float64 { return float64(p.routed.Transport.Stats().Opened) }
 	}
@@ -50,6 +52,15 @@
 	return float64(v.Routes.Version)
 }
 
+// tenants returns the number of tenants of the routes in force.
+func (p *Process) tenants() float64 {
+	v := p.viewOrEmpty()
+	if v.Routes == nil {
+		return 0
+	}
+	return float64(len(v.Routes.Tenants))
+}
+
 // ObserveAttempt implements relay.Observer.
 func (m *metricSet) ObserveAttempt(stage, outcome string, timeToFirstOutput time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("wagtaildyke_attempts_total{stage=%q,outcome=%q}", stage, outcome)).Inc()
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -64,6 +64,10 @@
 		outcome = placement.Abandoned
 		return err
 	}
+	if err := r.checkTenant(); err != nil {
+		outcome = placement.Abandoned
+		return err
+	}
 	head, handle, err := r.Backend.Prefill(ctx, lease.Server(), r.transmission(lease.Decision().CopyFrom))
 	r.prefills++
 	r.observeNotice(lease, head)
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -41,6 +41,8 @@
 	Timeout time.Duration
 	// LastEventID is the number of the last event that the caller has; 0 for none.
 	LastEventID uint64
+	// Keys are the digests of the tenants' keys that the request carries, usually one.
+	Keys []routes.KeyDigest
 	// Prompt describes the prompt of a model request; zero for others.
 	Prompt Prompt
 }
@@ -73,6 +75,8 @@
 	LastEventID uint64
 	// Priority is the request's rank in the engine's queue; 0 is the most urgent.
 	Priority int
+	// Tenant is the name of the tenant whose key the request carries; empty for none.
+	Tenant string
 	// Cache identifies the KV cache of the prompt on the engine that prefilled it; nil
 	// for none.
 	Cache *CacheHandle
@@ -89,6 +93,8 @@
 	// Server is the engine that keeps the cache.
 	Server fleet.Server
 	Handle string
+	// Tenant is the tenant of the request with the prompt; empty for none.
+	Tenant string
 }
 
 // Response is a backend server's response that is being received.
@@ -161,6 +167,9 @@
 	inFlight   atomic.Int64
 	ending     *ending
 	successLog logSampler
+	tenants    tenantIndex
+
+	refusedKeys refusedKeys
 }
 
 // New returns a Relay.
@@ -194,14 +203,14 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	r.awaitRoutes(ctx, req)
-	route, service, version, err := r.route(req)
+	run, err := r.match(req)
 	if err != nil {
 		return err
 	}
-	run := &requestRun{Relay: r, req: req, route: route, service: service, routesVersion: version, sink: sink}
+	run.sink = sink
 	run.position = streamPosition{lastID: req.LastEventID, before: req.LastEventID}
-	run.deadline = req.Arrived.Add(route.Timeout)
-	if req.Timeout > 0 && req.Timeout < route.Timeout {
+	run.deadline = req.Arrived.Add(run.route.Timeout)
+	if req.Timeout > 0 && req.Timeout < run.route.Timeout {
 		run.deadline = req.Arrived.Add(req.Timeout)
 	}
 	if err := r.ending.refuse(run.deadline); err != nil {
@@ -211,21 +220,28 @@
 	defer cancel()
 	stop := context.AfterFunc(r.ending.reached, cancel)
 	defer stop()
-	r.RetryBudget.CountRequest(service.Name, req.Arrived)
+	r.RetryBudget.CountRequest(run.service.Name, req.Arrived)
 	return run.serve(ctx)
 }
 
-// route returns the route that matches the request, a service chosen by the route's
-// weights, and the version of the routes.
-func (r *Relay) route(req *Request) (*routes.Route, *routes.Service, uint64, error) {
+// match returns the run of a request that matches a route and whose keys admit it, with a
+// service chosen by the route's weights.
+func (r *Relay) match(req *Request) (*requestRun, error) {
 	v := r.Views.Load()
 	if v == nil || v.Routes == nil {
-		return nil, nil, 0, errNoRoutes()
+		return nil, errNoRoutes()
 	}
 	route, found := v.Routes.Match(req.Host, req.Path)
 	if !found {
-		return nil, nil, 0, errNoRoute(req, v, r.LeaseNow())
+		return nil, errNoRoute(req, v, r.LeaseNow())
+	}
+	decision, err := r.admit(v, route, req)
+	if err != nil {
+		return nil, err
 	}
 	service, _ := v.Routes.Service(route.PickService(r.Random()))
-	return route, service, v.Routes.Version, nil
+	return &requestRun{
+		Relay: r, req: req, route: route, service: service,
+		routesVersion: v.Routes.Version, document: v.Routes, decision: decision,
+	}, nil
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/routes"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/tenancy"
 )
 
 // extraAttempts is the number of attempts that a request may make beyond the route's
@@ -29,8 +30,13 @@
 	// routesVersion is the version of the routes that matched the request.
 	routesVersion uint64
 	service       *routes.Service
-	sink          Sink
-	deadline      time.Time
+	// decision is the last one about the request's keys, by document.
+	decision tenancy.Decision
+	document *routes.Document
+	// keyRefused is set once a key that admitted the request has been removed.
+	keyRefused bool
+	sink       Sink
+	deadline   time.Time
 	// transmissions counts the transmissions of which a server may have received a
 	// part, including failed prefill calls but not successful ones.
 	transmissions int
@@ -106,7 +112,7 @@
 	switch {
 	case err == nil && outcome == placement.Answered:
 		r.Segments.Completed(r.heldSegments())
-	case err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined)):
+	case err != nil && (ctx.Err() != nil || errors.Is(err, errBudgetExhausted) || fault.Is(err, fault.Quarantined) || r.keyRefused):
 		outcome = placement.Abandoned
 	case outcome == placement.Lost && resp != nil:
 		r.observeLoss(lease, err)
@@ -131,6 +137,9 @@
 		"candidates", decision.Candidates, "report_age_ms", decision.ReportAge.Milliseconds(),
 		"view", fmt.Sprintf("%d/%d", decision.ViewTerm, decision.ViewSeq), "routes", r.routesVersion,
 	}
+	if r.decision.Tenant != "" {
+		fields = append(fields, "tenant", r.decision.Tenant)
+	}
 	if err != nil {
 		fields = append(fields, "reason", err.Error())
 	}
@@ -193,6 +202,9 @@
 	if err := r.checkQuarantine(); err != nil {
 		return nil, err
 	}
+	if err := r.checkTenant(); err != nil {
+		return nil, err
+	}
 	if r.transmissions > 0 && !r.retryReserved.Swap(false) && !r.RetryBudget.Take(r.service.Name, time.Now()) {
 		return nil, r.errRetryBudget()
 	}
@@ -225,7 +237,8 @@
 		Request:        r.req,
 		Deadline:       r.deadline,
 		LastEventID:    r.position.lastID,
-		Priority:       r.route.Priority,
+		Priority:       r.decision.Rank,
+		Tenant:         r.decision.Tenant,
 		Cache:          r.cache,
 		CopyFrom:       copyFrom,
 		MaxConnections: r.maxConnections(),
@@ -264,7 +277,7 @@
 
 // mayRetry reports whether the request may be sent to another server after a failure.
 func (r *requestRun) mayRetry(ctx context.Context, failed *fault.Error) bool {
-	refused := fault.Is(failed, fault.Overloaded) || fault.Is(failed, fault.Quarantined)
+	refused := fault.Is(failed, fault.Overloaded) || fault.Is(failed, fault.Quarantined) || r.keyRefused
 	if refused || ctx.Err() != nil || !r.attemptsLeft() || !r.position.resumable() || r.mayCrashAnother() {
 		return false
 	}
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -57,6 +57,8 @@
 	InFlight func() int
 	// LogLinesDropped returns the number of successful attempts that were not logged.
 	LogLinesDropped func() uint64
+	// RefusedKeys returns the number of requests refused for their keys.
+	RefusedKeys func() uint64
 }
 
 // NewRouted adds the traffic subtree to o.Parent.
@@ -83,6 +85,7 @@
 		InFlight:  requestRelay.InFlight,
 
 		LogLinesDropped: requestRelay.LogLinesDropped,
+		RefusedKeys:     requestRelay.RefusedKeys,
 	}
 	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
 		node.Passive(name)
--- a/root/view_log.go
+++ b/root/view_log.go
@@ -24,7 +24,7 @@
 		log.Info("leader term changed", "before", old.Term)
 	}
 	if next.Routes != nil && (old.Routes == nil || old.Routes.Version != next.Routes.Version) {
-		log.Info("routing document changed", "version", next.Routes.Version, "routes", len(next.Routes.Routes))
+		log.Info("routing document changed", "version", next.Routes.Version, "routes", len(next.Routes.Routes), "tenants", len(next.Routes.Tenants))
 	}
 	logSegmentChanges(log, old.Segments, next.Segments)
 	logServerChanges(log, old.Servers, next.Servers)
