--- a/root/control/routes/tenants.go
+++ b/root/control/routes/tenants.go
@@ -25,7 +25,7 @@
 // DigestKey returns the digest of a key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
-// Tenant is a customer whose requests carry one of its keys.
+// Tenant is a customer of the operator. Its requests carry one of its keys.
 type Tenant struct {
 	Name string
 	// Keys are the digests of the tenant's keys, each once.
--- a/root/traffic/relay/tenants.go
+++ b/root/traffic/relay/tenants.go
@@ -62,11 +62,14 @@
 // admit decides by the keys of a request whether the request is admitted to the route.
 func (r *Relay) admit(v *view.View, route *routes.Route, req *Request) (tenancy.Decision, *fault.Error) {
 	decision := r.tenants.of(v.Routes).Decide(route, req.Keys)
-	err := decision.Err(v.Fresh(r.LeaseNow()))
+	now := r.LeaseNow()
+	err := decision.Err(v.Fresh(now))
 	switch {
 	case err == nil:
 		return decision, nil
 	case err.Kind == fault.NotReady:
+		err = fault.Wrap(err, fault.NotReady, part, "version %d of the routes, view %d/%d, lease left %s",
+			v.Routes.Version, v.Term, v.Seq, v.LeaseUntil.Sub(now).Round(time.Millisecond))
 		return decision, err.WithRetryAfter(noRoutesRetry)
 	case r.refusedKeys.count(time.Now()):
 		r.Log.Info("key refused", "request", req.ID, "route", route.Name, "routes", v.Routes.Version,
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -87,7 +87,7 @@
 		LogLinesDropped: requestRelay.LogLinesDropped,
 		RefusedKeys:     requestRelay.RefusedKeys,
 	}
-	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
+	for _, name := range []string{"engine", "relay", "tenancy", "placement", "admission", "addresses"} {
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
