--- a/root/traffic/relay/gate_test.go
+++ b/root/traffic/relay/gate_test.go
@@ -52,6 +52,7 @@
 				c.Assert(time.Since(began), qt.Equals, tc.wait)
 				c.Assert(h.sent, qt.HasLen, 0)
 				c.Assert(h.refusals, qt.Equals, 1)
+				c.Assert(h.probes, qt.HasLen, 0)
 				c.Assert(h.relay.Placer.OwnLoads(), qt.HasLen, 0)
 				// The request no longer wants to be a probe.
 				sleep(time.Second)
@@ -164,6 +165,21 @@
 	})
 }
 
+// TestWaitsForSuspectsAddUp guards against a request that waits for one suspect after the
+// other: it was cleared once, and the segment became a suspect again during the prefill.
+func TestWaitsForSuspectsAddUp(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.prefillScript = []scriptedResponse{{status: 200, hang: 200 * time.Millisecond}}
+		h.suspect("a")
+		time.AfterFunc(700*time.Millisecond, func() { h.suspect() })
+		time.AfterFunc(800*time.Millisecond, func() { h.suspect("a") })
+		began := time.Now()
+		_, err := h.serve(longPrompt())
+		c.Assert(err.Kind, qt.Equals, fault.Quarantined)
+		c.Assert(time.Since(began), qt.Equals, 1200*time.Millisecond)
+	})
+}
+
 // TestResumedStreamWaitsForItsSuspect guards against a stream whose engine ended being
 // resumed on the next one although the prompt may crash it.
 func TestResumedStreamWaitsForItsSuspect(t *testing.T) {
--- a/root/traffic/relay/losses_test.go
+++ b/root/traffic/relay/losses_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+// TestSilentHostIsCheckedBeforeTheFirstOutput covers connections that the system ends
+// because the host acknowledges nothing. After output has begun this shows nothing about
+// the prompt.
+func TestSilentHostIsCheckedBeforeTheFirstOutput(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script scriptedResponse
+		lost   int
+	}{
+		"before the head":         {scriptedResponse{silentHost: true}, 2},
+		"before the first output": {scriptedResponse{silentHost: true, status: 200}, 2},
+		"after output":            {scriptedResponse{silentHost: true, status: 200, events: 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(c *qt.C, h *harness) {
+				h.check = func(string) error { return os.ErrDeadlineExceeded }
+				h.script = []scriptedResponse{tc.script, {status: 200, events: 2}}
+				_, err := h.serve(promptRequest("/resumable/"))
+				c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+				sleep(checkTime)
+				c.Assert(h.lost, qt.HasLen, tc.lost)
+			})
+		})
+	}
+}
+
 // TestSlowEngineThatRespondsToOthersIsNotChecked guards against dials, and losses by a full
 // backlog, for requests that only took too long.
 func TestSlowEngineThatRespondsToOthersIsNotChecked(t *testing.T) {
--- a/root/traffic/relay/probe_test.go
+++ b/root/traffic/relay/probe_test.go
@@ -123,6 +123,22 @@
 	})
 }
 
+// TestOldGrantIsNotUsed guards against a probe beside that of another entry: the grant is
+// too old once the connection to the first engine has failed.
+func TestOldGrantIsNotUsed(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.control.grants = true
+		h.suspect("b")
+		h.script = []scriptedResponse{{notSent: true, hang: 1200 * time.Millisecond}, {status: 200, events: 2}}
+		req := promptRequest("/stream/")
+		// Placement refuses prompts whose prefill it expects to take as long as the hang.
+		req.Prompt.Tokens = 0
+		_, err := h.serve(req)
+		c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(h.probes, qt.DeepEquals, []string{"no_result", "completed"})
+	})
+}
+
 // TestSlowProbeIsNotCancelled guards against a watchdog that ends a probe, which has no
 // other attempt.
 func TestSlowProbeIsNotCancelled(t *testing.T) {
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/loop"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
@@ -63,7 +64,7 @@
 func NewRouted(o RoutedOptions) *Routed {
 	node := o.Parent.Supervisor("traffic")
 	transport := engine.NewTransport()
-	observer := segments.NewObserver(o.Loop, o.Views)
+	observer := segments.NewObserver(o.Loop, o.Views, clock.Now)
 	o.Loop.SetProbeGrants(observer)
 	requestRelay := relay.New(relay.Options{
 		Views:        o.Views,
--- a/root/traffic/segments/observer.go
+++ b/root/traffic/segments/observer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/wagtaildyke/wagtaildyke/clock"
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
 	"github.com/wagtaildyke/wagtaildyke/root/control/quarantine"
@@ -24,6 +23,7 @@
 type Observer struct {
 	control Control
 	views   *view.Store
+	now     func() time.Time
 
 	mu    sync.Mutex
 	state *State
@@ -31,11 +31,11 @@
 	pending chan struct{}
 }
 
-// NewObserver returns an Observer. The leader tells the probes of a process from those of
+// NewObserver returns an Observer. now is the clock of leases. The leader tells the probes of a process from those of
 // its predecessor by their ids, which therefore begin with the time in nanoseconds.
-func NewObserver(control Control, views *view.Store) *Observer {
-	state := NewState(uint64(clock.Now().UnixNano()))
-	return &Observer{control: control, views: views, state: state, pending: make(chan struct{}, 1)}
+func NewObserver(control Control, views *view.Store, now func() time.Time) *Observer {
+	state := NewState(uint64(now().UnixNano()))
+	return &Observer{control: control, views: views, now: now, state: state, pending: make(chan struct{}, 1)}
 }
 
 // Lost records that an engine ended under a request with these segments.
@@ -69,7 +69,7 @@
 
 // GrantProbes implements loop.ProbeGrants.
 func (o *Observer) GrantProbes(ids []uint64) {
-	o.update(func() { o.state.GrantProbes(ids, clock.Now()) })
+	o.update(func() { o.state.GrantProbes(ids, o.now()) })
 }
 
 // EndProbe ends a probe, or the wait for its permission. Later calls do nothing.
