--- a/root/traffic/relay/checks_test.go
+++ b/root/traffic/relay/checks_test.go
@@ -162,3 +162,19 @@
 		c.Assert(h.checks, qt.DeepEquals, []string{"unchecked", "unchecked"})
 	})
 }
+
+// TestChecksEndWithTheProcess guards against dials that outlive it: the bubble fails if a
+// goroutine is left.
+func TestChecksEndWithTheProcess(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.checkHangs = true
+		h.script = []scriptedResponse{{noResponse: true}}
+		h.serve(promptRequest("/stream/"))
+		sleep(time.Second)
+		c.Assert(h.checked, qt.HasLen, 1)
+		h.stop()
+		sleep(0)
+		c.Assert(h.checks, qt.DeepEquals, []string{"unchecked"})
+		c.Assert(h.lost, qt.HasLen, 0)
+	})
+}
