--- a/root/traffic/relay/losses.go
+++ b/root/traffic/relay/losses.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/placement"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/segments"
@@ -53,6 +54,9 @@
 	switch {
 	case e.head.Status == 0:
 		return e.withoutHead()
+	case fault.Is(e.err, fault.Cancelled):
+		// The caller's connection failed, with the same errors as an engine's.
+		return noEvidence
 	case e.answered && e.head.Status/100 != http.StatusOK/100:
 		return noEvidence
 	case e.answered && e.head.Unframed && e.lease.SinceFirstOutput() < survivalTime:
