--- a/root/control/quarantine/failures.go
+++ b/root/control/quarantine/failures.go
@@ -17,7 +17,8 @@
 	// healthy segment was quarantined in that time.
 	repeatDelay = 5 * time.Second
 	// massEngines is the number of other engines lost within massWindow of a failed probe
-	// from which it shows nothing: a rack or a failure domain has failed.
+	// from which it shows nothing: a rack or a failure domain has failed. The next probe of
+	// the same set counts even so, because several crashing segments may be probed together.
 	massEngines = 3
 	massWindow  = 500 * time.Millisecond
 	// deadWindow is how long entries may still send requests to an engine that was lost. A
@@ -45,6 +46,8 @@
 	segments []Segment
 	// settled is set once other reports on the engine have had time to arrive.
 	settled bool
+	// inMass is set if massEngines other engines were lost at the same time.
+	inMass bool
 	// explained is set once it is known why the engine ended, or that nobody can tell.
 	explained bool
 }
@@ -151,7 +154,8 @@
 		return
 	}
 	f.settled = true
-	if t.isInconclusive(f) {
+	f.inMass = t.isInMass(f)
+	if t.beganOnLostEngine(f) || f.inMass && !t.repeatsMass(f) {
 		f.explained = true
 		return
 	}
@@ -162,14 +166,18 @@
 	}
 }
 
-// isInconclusive reports whether the engine ended together with many others, or before the
-// probe was granted.
-func (t *Tracker) isInconclusive(f *failure) bool {
-	if lostAt, known := t.lost[f.engine]; known && !f.grantedAt.IsZero() {
-		if gone := f.grantedAt.Sub(lostAt); gone > 0 && gone < deadWindow {
-			return true
-		}
+// beganOnLostEngine reports whether the engine had ended before the probe was granted.
+func (t *Tracker) beganOnLostEngine(f *failure) bool {
+	lostAt, known := t.lost[f.engine]
+	if !known || f.grantedAt.IsZero() {
+		return false
 	}
+	gone := f.grantedAt.Sub(lostAt)
+	return gone > 0 && gone < deadWindow
+}
+
+// isInMass reports whether the engine ended together with many others.
+func (t *Tracker) isInMass(f *failure) bool {
 	others := 0
 	for lost, at := range t.lost {
 		if lost != f.engine && f.at.Sub(at).Abs() <= massWindow {
@@ -179,6 +187,18 @@
 	return others >= massEngines
 }
 
+// repeatsMass reports whether an earlier probe of the same set failed together with many
+// engines too, and no response with one of the segments has completed since.
+func (t *Tracker) repeatsMass(f *failure) bool {
+	return slices.ContainsFunc(t.failures, func(first *failure) bool {
+		return first.inMass && f.at.Sub(first.at) > massWindow && slices.Equal(first.segments, f.segments) &&
+			!slices.ContainsFunc(f.segments, func(s Segment) bool {
+				e := t.segments[s]
+				return e != nil && e.clearedAt.After(first.at)
+			})
+	})
+}
+
 // judgeNext returns the segments that the first conclusive failed probe, or the first two
 // with the same segments, are explained by; nil if there are none.
 func (t *Tracker) judgeNext(held *State) []Segment {
