--- a/root/traffic/segments/state.go
+++ b/root/traffic/segments/state.go
@@ -23,6 +23,9 @@
 	// that engines survive the segment. Popular segments so stay in service when a rack is
 	// lost under them.
 	survivalMemory = 5 * time.Second
+	// completionInterval is the least time between the completions of two reports for one
+	// suspicion. The control thread drops a report that no leader has confirmed for 10 s.
+	completionInterval = 10 * time.Second
 )
 
 // State holds the observations of one entry.
@@ -34,9 +37,16 @@
 	losses      []quarantine.Loss
 	failed      []quarantine.FailedProbe
 	probes      probes
-	// cleared holds the suspects that were reported as completed, with their Since. The
-	// control thread repeats a report until the leader has it.
-	cleared map[quarantine.Segment]time.Time
+	// cleared holds the suspects that were reported as completed. The control thread repeats
+	// a report for some time until the leader has it.
+	cleared map[quarantine.Segment]clearedSuspect
+}
+
+// clearedSuspect is a suspect that was reported as completed.
+type clearedSuspect struct {
+	since time.Time
+	// at is the completion that was reported.
+	at time.Time
 }
 
 // completion is the time of the last complete response with a segment.
@@ -112,25 +122,27 @@
 }
 
 // Report returns the losses and failed probes since the last report, the suspects with which
-// a response has completed since they were first lost, each once while it is a suspect, and
-// all probes if they have changed. It reports false if there is none of these.
+// a response has completed since they were first lost, each once in completionInterval while
+// it is a suspect, and all probes if they have changed. It reports false if there is none of these.
 func (s *State) Report(suspects []quarantine.Suspect) (machine.SegmentReport, bool) {
 	report := machine.SegmentReport{Losses: s.losses, FailedProbes: s.failed, ProbesChanged: s.probes.changed}
 	if s.probes.changed {
 		report.Probes = s.probes.list()
 	}
 	s.losses, s.failed, s.probes.changed = nil, nil, false
-	cleared := make(map[quarantine.Segment]time.Time, len(s.cleared))
+	cleared := make(map[quarantine.Segment]clearedSuspect, len(s.cleared))
 	for _, suspect := range suspects {
 		e := s.completions[suspect.Segment]
 		if e == nil || !e.Value.(completion).at.After(suspect.Since) {
 			continue
 		}
 		at := e.Value.(completion).at
-		if since, reported := s.cleared[suspect.Segment]; !reported || !since.Equal(suspect.Since) {
+		known, reported := s.cleared[suspect.Segment]
+		if !reported || !known.since.Equal(suspect.Since) || at.Sub(known.at) >= completionInterval {
+			known = clearedSuspect{suspect.Since, at}
 			report.Completed = append(report.Completed, quarantine.Completion{Segment: suspect.Segment, At: at})
 		}
-		cleared[suspect.Segment] = suspect.Since
+		cleared[suspect.Segment] = known
 	}
 	s.cleared = cleared
 	return report, len(report.Losses)+len(report.FailedProbes)+len(report.Completed) > 0 || report.ProbesChanged
