--- a/cmd/wagtaildyke/reload.go
+++ b/cmd/wagtaildyke/reload.go
@@ -27,6 +27,7 @@
 	queue := newLogQueue(out)
 	defer queue.Close()
 	log := newQueuedLogger(queue, s.Log)
+	root.LimitMemory(s.Limits)
 	p, err := root.Open(s, log)
 	if err != nil {
 		return err
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -35,6 +35,7 @@
 	Settings
 	Unavailable
 	Quarantined
+	RequestTimeout
 	kindCount
 )
 
@@ -103,6 +104,7 @@
 	Settings:         {"settings", 500, 78, RanNo, false},
 	Unavailable:      {"unavailable", 503, 69, RanUnknown, true},
 	Quarantined:      {"quarantined", 503, 75, RanNo, true},
+	RequestTimeout:   {"request_timeout", 408, 75, RanNo, true},
 }
 
 // Attributes returns the attributes of the kind, and those of Internal for an
--- a/root/frontends.go
+++ b/root/frontends.go
@@ -52,6 +52,7 @@
 		Applied:     p.applied.Load,
 		VM:          p.settings.VM,
 		Incarnation: p.incarnation,
+		Bodies:      p.untrusted.bodies,
 		Limits: frontdoor.Limits{
 			MaxBodyBytes: limits.MaxBodyBytes,
 			BodyTimeout:  settings.Millis(limits.BodyTimeoutMillis),
@@ -83,6 +84,8 @@
 	Dispatch      dispatch.Stats `json:"dispatch"`
 	Engine        engine.Stats   `json:"engine"`
 	InFlight      int            `json:"in_flight"`
+	// Refusals counts by kind what was refused or closed to stay within the limits.
+	Refusals map[string]uint64 `json:"refusals"`
 
 	Transport engine.TransportStats `json:"transport"`
 }
@@ -117,6 +120,7 @@
 		Control:       p.loop.Stats(),
 		Peers:         p.mesh.Stats(),
 		Dispatch:      p.dispatcher.Stats(),
+		Refusals:      p.untrusted.refusals.totals(),
 	}
 	if p.traffic != nil {
 		out.Engine = p.traffic.Client.Stats()
--- a/root/metrics.go
+++ b/root/metrics.go
@@ -12,10 +12,13 @@
 
 // metricSet holds the metrics that the metrics listener of a platform deployment
 // serves in the Prometheus text format.
-type metricSet struct{ set *vmetrics.Set }
+type metricSet struct {
+	set      *vmetrics.Set
+	refusals *refusals
+}
 
 func newMetricSet(p *Process) *metricSet {
-	m := &metricSet{set: vmetrics.NewSet()}
+	m := &metricSet{set: vmetrics.NewSet(), refusals: p.untrusted.refusals}
 	for name, value := range p.gauges() {
 		m.set.NewGauge(name, value)
 	}
@@ -71,6 +74,9 @@
 func (m *metricSet) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		for kind, total := range m.refusals.totals() {
+			m.set.GetOrCreateCounter(fmt.Sprintf("wagtaildyke_refused_total{kind=%q}", kind)).Set(total)
+		}
 		m.set.WritePrometheus(w)
 	})
 }
--- a/root/platform.go
+++ b/root/platform.go
@@ -80,7 +80,7 @@
 }
 
 func (p *Process) controlPlaneHandler() http.Handler {
-	return platform.NewControl(gateway.NewRegistrar(p.views, p.loop), p.log.WithName("gateway"))
+	return platform.NewControl(gateway.NewRegistrar(p.views, p.loop), p.untrusted.bodies, p.log.WithName("gateway"))
 }
 
 func (p *Process) serverOptions() frontdoor.ServerOptions {
@@ -120,6 +120,7 @@
 func (p *Process) newIngress(r *relay.Relay, node *supervise.Node) http.Handler {
 	return platform.NewIngress(platform.IngressOptions{
 		Relay:        r,
+		Bodies:       p.untrusted.bodies,
 		BodyTimeout:  settings.Millis(p.settings.Limits.BodyTimeoutMillis),
 		WriteTimeout: settings.Millis(p.settings.Limits.WriteTimeoutMillis),
 		ResponseSent: p.metrics.ObserveResponse,
--- a/root/process.go
+++ b/root/process.go
@@ -52,9 +52,11 @@
 	placer     *placement.Placer
 	traffic    *traffic.Traffic
 	metrics    *metricSet
-	routed     *traffic.Routed
-	store      *storage.Store
-	writer     *storage.Writer
+	// untrusted bounds what callers make this process hold.
+	untrusted *untrusted
+	routed    *traffic.Routed
+	store     *storage.Store
+	writer    *storage.Writer
 	// replicaID is that of the data folder; empty without a replica.
 	replicaID consensus.ReplicaID
 	orders    *orders.Sender
@@ -150,6 +152,7 @@
 
 func (p *Process) build() error {
 	p.tree = supervise.NewRoot(p.log)
+	p.untrusted = newUntrusted(p.settings.Limits, p.log.WithName("traffic"))
 	replica, err := p.openStorage()
 	if err != nil {
 		return err
--- a/root/traffic/frontdoor/announce.go
+++ b/root/traffic/frontdoor/announce.go
@@ -66,8 +66,9 @@
 		h.writeError(w, id, "", err)
 		return
 	}
+	defer body.Release()
 	var a Announcement
-	if err := json.Unmarshal(body, &a); err != nil {
+	if err := json.Unmarshal(body.Bytes, &a); err != nil {
 		h.writeError(w, id, "", fault.New(fault.Invalid, part, "decode announcement: %v", err))
 		return
 	}
--- a/root/traffic/frontdoor/frontdoor.go
+++ b/root/traffic/frontdoor/frontdoor.go
@@ -18,6 +18,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/forward"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 )
 
 const part = "traffic/frontdoor"
@@ -49,6 +50,8 @@
 	// it returns once that is committed.
 	Announce func(ctx context.Context, s fleet.Server) error
 	Limits   Limits
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
 	// AddressLifetime is how long callers may cache a list of addresses.
 	AddressLifetime time.Duration
 	// NewID returns a unique request id.
--- a/root/traffic/frontdoor/frontdoor_test.go
+++ b/root/traffic/frontdoor/frontdoor_test.go
@@ -18,10 +18,12 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/budget"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/dispatch"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/forward"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 )
 
 const (
@@ -63,6 +65,11 @@
 			s.announcements = append(s.announcements, server)
 			return s.announceErr
 		},
+		Bodies: intake.New(intake.Options{
+			Budget:          budget.New(budget.Options{Small: 1 << 20, Large: 1 << 20, SmallClaim: 64 << 10}),
+			ProgressTimeout: time.Second,
+			OnRefused:       func(intake.Reason) {},
+		}),
 		Limits:   frontdoor.Limits{MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: writeTimeout},
 		NewID:    s.newID,
 		Log:      logr.Discard(),
--- a/root/traffic/frontdoor/requests.go
+++ b/root/traffic/frontdoor/requests.go
@@ -34,7 +34,8 @@
 		h.writeError(w, id, "", err)
 		return
 	}
-	c, err := parseCompletion(body)
+	defer body.Release()
+	c, err := parseCompletion(body.Bytes)
 	if err != nil {
 		h.writeError(w, id, "", err)
 		return
@@ -46,7 +47,7 @@
 			MaxOutputTokens: c.maxOutputTokens(),
 			Prefix:          c.prefixHashes(),
 		},
-		Call: engine.Call{RequestTarget: r.URL.RequestURI(), Body: body, Stream: c.Stream},
+		Call: engine.Call{RequestTarget: r.URL.RequestURI(), Body: body.Bytes, Stream: c.Stream},
 	}
 	h.serve(w, r, id, req)
 }
@@ -59,6 +60,7 @@
 		h.writeError(w, id, "", err)
 		return
 	}
+	defer body.Release()
 	name := chi.URLParam(r, "service")
 	// If r.URL.RawPath is empty, chi returns a name such as a%20b unescaped: the prefix
 	// does not match, and the backend server receives the whole path.
@@ -68,7 +70,7 @@
 	}
 	req := forward.Request{
 		Dispatch: dispatch.Request{Target: name, PromptTokens: 1, MaxOutputTokens: 1},
-		Call:     engine.Call{RequestTarget: path, Body: body},
+		Call:     engine.Call{RequestTarget: path, Body: body.Bytes},
 	}
 	h.serve(w, r, id, req)
 }
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -14,6 +14,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/forward"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/usage"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -39,7 +40,9 @@
 	// Incarnation is unique to the lifetime of this process.
 	Incarnation uint64
 	Limits      frontdoor.Limits
-	Server      frontdoor.ServerOptions
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
+	Server frontdoor.ServerOptions
 	// AddressLifetime is how long callers may use a list of addresses.
 	AddressLifetime time.Duration
 	// NewID returns a new request id.
@@ -75,6 +78,7 @@
 		Forwarder:       forwarder,
 		Announce:        func(ctx context.Context, s fleet.Server) error { return loop.Announce(ctx, o.Loop, s) },
 		Limits:          o.Limits,
+		Bodies:          o.Bodies,
 		AddressLifetime: o.AddressLifetime,
 		NewID:           o.NewID,
 		Log:             node.Log().WithName("frontdoor"),
--- a/scenario/untrusted_test.go
+++ b/scenario/untrusted_test.go
@@ -45,6 +45,10 @@
 	s.Limits.HeaderTimeoutMillis = 3_000
 	s.Limits.IdleTimeoutMillis = 15_000
 	s.Limits.BodyTimeoutMillis = 30_000
+	s.Limits.MemoryBytes = entryMemory
+	if s.Replica != nil {
+		s.Limits.MemoryBytes = siteMemory
+	}
 }
 
 // untrustedSite is one replica and one entry with a front end and a backend server.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -135,8 +135,13 @@
 	HeaderTimeoutMillis int   `json:"header_timeout_ms"`
 	BodyTimeoutMillis   int   `json:"body_timeout_ms"`
 	IdleTimeoutMillis   int   `json:"idle_timeout_ms"`
+	// BodyProgressTimeoutMillis limits the time without a byte of a request body.
+	BodyProgressTimeoutMillis int `json:"body_progress_timeout_ms"`
 	// WriteTimeoutMillis limits the time of one write to a slow caller.
 	WriteTimeoutMillis int `json:"write_timeout_ms"`
+	// MemoryBytes is the memory that this process may use; 0 for the limit that the system
+	// reports. It may be written as 184e6.
+	MemoryBytes float64 `json:"memory_bytes"`
 }
 
 // Stop configures the graceful shutdown.
@@ -164,6 +169,8 @@
 			BodyTimeoutMillis:   30_000,
 			IdleTimeoutMillis:   60_000,
 			WriteTimeoutMillis:  20_000,
+
+			BodyProgressTimeoutMillis: 15_000,
 		},
 		Stop: Stop{DrainLimitSeconds: 600},
 		Log:  Log{Format: "text", Level: "info"},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -150,6 +150,7 @@
 		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis), 1, hourMillis},
 		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis), 1, hourMillis},
 		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis), 1, hourMillis},
+		{"/limits/body_progress_timeout_ms", int64(l.BodyProgressTimeoutMillis), 1, hourMillis},
 		{"/limits/write_timeout_ms", int64(l.WriteTimeoutMillis), 1, hourMillis},
 		{"/stop/drain_limit_seconds", int64(s.Stop.DrainLimitSeconds), 1, daySeconds},
 	}
@@ -158,9 +159,19 @@
 			return src.fieldError(r.field, "must be %d to %d", r.min, r.max)
 		}
 	}
+	if l.MemoryBytes != 0 && (l.MemoryBytes < MinMemoryBytes || l.MemoryBytes > maxMemoryBytes) {
+		return src.fieldError("/limits/memory_bytes", "must be 0, or %d to %d", MinMemoryBytes, int64(maxMemoryBytes))
+	}
 	return nil
 }
 
+// Bounds of the memory of a process. With MinMemoryBytes, the reserve for large bodies still
+// has space for two of them with the bound of the users' platform.
+const (
+	MinMemoryBytes = 64 << 20
+	maxMemoryBytes = 1 << 42
+)
+
 // Maximum durations in settings.
 const (
 	hourMillis = 3_600_000
