--- a/root/build.go
+++ b/root/build.go
@@ -143,7 +143,9 @@
 // between two replicas the one with the smaller VM id dials.
 func (p *Process) buildPeers() {
 	node := p.tree.Supervisor("peers")
-	node.Service("acceptor", p.mesh.Acceptor(p.listeners.Peers))
+	node.Service("acceptor", p.mesh.Acceptor(p.listeners.Peers, p.untrusted.connections[peersListener], func() {
+		p.untrusted.refusals.count("session_evicted")
+	}))
 	if d := p.settings.Discovery; d != nil {
 		node.Service("links", p.mesh.OnDemandLinks(d.PeerAddress))
 		return
--- a/root/frontends.go
+++ b/root/frontends.go
@@ -58,11 +58,7 @@
 			BodyTimeout:  settings.Millis(limits.BodyTimeoutMillis),
 			WriteTimeout: settings.Millis(limits.WriteTimeoutMillis),
 		},
-		Server: frontdoor.ServerOptions{
-			MaxHeaderBytes: limits.MaxHeaderBytes,
-			HeaderTimeout:  settings.Millis(limits.HeaderTimeoutMillis),
-			IdleTimeout:    settings.Millis(limits.IdleTimeoutMillis),
-		},
+		Server:          p.serverOptions(mainListener),
 		AddressLifetime: p.settings.Entry.AddressLifetime(),
 		NewID:           randomID,
 		OnServed: func(class string, t frontdoor.Timing) {
--- a/root/gateway/gateway.go
+++ b/root/gateway/gateway.go
@@ -17,13 +17,14 @@
 	Name     string
 	Listener net.Listener
 	Handler  http.Handler
+	Server   frontdoor.ServerOptions
 }
 
 // New adds the gateway and a server for each endpoint to the supervisor tree, below
 // parent.
-func New(parent *supervise.Node, endpoints []Endpoint, o frontdoor.ServerOptions) {
+func New(parent *supervise.Node, endpoints []Endpoint) {
 	node := parent.Supervisor("gateway")
 	for _, e := range endpoints {
-		node.Service(e.Name, frontdoor.NewServer(e.Listener, e.Handler, o))
+		node.Service(e.Name, frontdoor.NewServer(e.Listener, e.Handler, e.Server))
 	}
 }
--- a/root/operator/authority.go
+++ b/root/operator/authority.go
@@ -26,7 +26,7 @@
 
 func (s *Server) confirmDead(w http.ResponseWriter, r *http.Request) {
 	var req DeathConfirmation
-	if err := readJSON(w, r, &req); err != nil {
+	if err := s.readJSON(w, r, &req); err != nil {
 		s.writeError(w, err)
 		return
 	}
@@ -69,7 +69,7 @@
 
 func (s *Server) setFencing(w http.ResponseWriter, r *http.Request) {
 	var req FencingRequest
-	if err := readJSON(w, r, &req); err != nil {
+	if err := s.readJSON(w, r, &req); err != nil {
 		s.writeError(w, err)
 		return
 	}
--- a/root/operator/fleet.go
+++ b/root/operator/fleet.go
@@ -95,7 +95,7 @@
 
 func (s *Server) setDrain(w http.ResponseWriter, r *http.Request) {
 	var req DrainRequest
-	if err := readJSON(w, r, &req); err != nil {
+	if err := s.readJSON(w, r, &req); err != nil {
 		s.writeError(w, err)
 		return
 	}
--- a/root/operator/operator.go
+++ b/root/operator/operator.go
@@ -5,9 +5,11 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -21,6 +23,8 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/table"
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
@@ -41,6 +45,10 @@
 // Options configure the operator part.
 type Options struct {
 	Listener net.Listener
+	// Server are the limits on connections.
+	Server frontdoor.ServerOptions
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
 	// Token is the bearer token that requests must carry. If it is empty, requests
 	// need no token.
 	Token string
@@ -61,13 +69,13 @@
 // Server is the HTTP server for operators.
 type Server struct {
 	Options
-	http *http.Server
+	http *frontdoor.Server
 }
 
 // Limits of a request.
 const (
 	maxBodyBytes  = 4 << 20
-	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
 	submitTimeout = 15 * time.Second
 )
 
@@ -93,20 +101,12 @@
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
 		s.writeError(w, fault.New(fault.MethodNotAllowed, part, "%s is not allowed here", r.Method))
 	})
-	s.http = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	s.http = frontdoor.NewServer(o.Listener, r, o.Server)
 	return s
 }
 
 // Serve handles requests until ctx ends.
-func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { s.http.Close() })
-	defer stop()
-	err := s.http.Serve(s.Listener)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return err
-}
+func (s *Server) Serve(ctx context.Context) error { return s.http.Serve(ctx) }
 
 // authorize rejects requests without the bearer token if one is configured.
 func (s *Server) authorize(next http.Handler) http.Handler {
@@ -135,9 +135,24 @@
 	writeJSON(w, map[string]ErrorBody{"error": {e.Kind.String(), e.Ran.String(), e.Error()}})
 }
 
+// readBody reads a request body of limited size.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*intake.Body, error) {
+	body, err := s.Bodies.Read(intake.FromHTTP(w, r, maxBodyBytes, bodyTimeout))
+	var typed *fault.Error
+	if err == nil || errors.As(err, &typed) {
+		return body, err
+	}
+	return nil, fault.New(fault.Invalid, part, "invalid request body: %v", err)
+}
+
 // readJSON decodes a request body of limited size. Unknown fields are an error.
-func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+func (s *Server) readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	dec := json.NewDecoder(bytes.NewReader(body.Bytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return fault.New(fault.Invalid, part, "invalid request body: %v", err)
--- a/root/operator/operator_test.go
+++ b/root/operator/operator_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -20,6 +21,8 @@
 	"github.com/wagtaildyke/wagtaildyke/root/control/view"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
 	"github.com/wagtaildyke/wagtaildyke/root/operator/burn"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/budget"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
@@ -55,6 +58,11 @@
 		{ID: "vm-2", Incarnation: 20, State: fleet.Suspected},
 	}})
 	o := operator.Options{
+		Bodies: intake.New(intake.Options{
+			Budget:          budget.New(budget.Options{Small: 1 << 20, Large: 16 << 20, SmallClaim: 64 << 10}),
+			ProgressTimeout: time.Second,
+			OnRefused:       func(intake.Reason) {},
+		}),
 		Listener: ln, VM: "vm-1", Views: views, Submitter: srv.control, Reader: srv.control,
 		Burn:    burn.New(burn.Options{VM: "vm-1", Views: views}),
 		Tree:    func() supervise.Info { return supervise.Info{} },
--- a/root/operator/order.go
+++ b/root/operator/order.go
@@ -31,7 +31,7 @@
 
 func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var req OrderRequest
-	if err := readJSON(w, r, &req); err != nil {
+	if err := s.readJSON(w, r, &req); err != nil {
 		s.writeError(w, err)
 		return
 	}
--- a/root/operator/table.go
+++ b/root/operator/table.go
@@ -59,7 +59,13 @@
 		s.writeError(w, fault.New(fault.Invalid, part, "%s is missing", ChangeIDHeader))
 		return
 	}
-	classes, err := table.ParseCSV(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.writeError(w, err)
+		return
+	}
+	defer body.Release()
+	classes, err := table.ParseCSV(bytes.NewReader(body.Bytes))
 	if err != nil {
 		s.writeError(w, err)
 		return
--- a/root/peers/peers.go
+++ b/root/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/api/codec"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/budget"
 	"github.com/wagtaildyke/wagtaildyke/sockets"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -294,11 +295,20 @@
 type Acceptor struct {
 	mesh *Mesh
 	ln   net.Listener
+	// beingSetUp has a claim of 1 for each connection whose session is being set up.
+	beingSetUp *budget.Budget
+	// onEvicted is called for each connection that is closed to make room for a newer one.
+	onEvicted func()
 }
 
-// Acceptor returns the service that accepts sessions on ln. It closes ln when it
-// ends.
-func (m *Mesh) Acceptor(ln net.Listener) *Acceptor { return &Acceptor{mesh: m, ln: ln} }
+// Acceptor returns the service that accepts sessions on ln, of which at most maxBeingSetUp
+// are being set up. It closes ln when it ends.
+func (m *Mesh) Acceptor(ln net.Listener, maxBeingSetUp int64, onEvicted func()) *Acceptor {
+	return &Acceptor{
+		mesh: m, ln: ln, onEvicted: onEvicted,
+		beingSetUp: budget.New(budget.Options{Large: maxBeingSetUp}),
+	}
+}
 
 // Serve runs until ctx ends.
 func (a *Acceptor) Serve(ctx context.Context) error {
@@ -312,18 +322,28 @@
 		if err != nil {
 			return err
 		}
-		go a.handle(ctx, conn)
+		limited := newSetUpConn(conn)
+		claim := a.beingSetUp.Open(time.Now(), func() {
+			a.onEvicted()
+			limited.Close()
+		})
+		if !claim.Resize(1, time.Now()) {
+			conn.Close()
+			continue
+		}
+		go a.handle(ctx, conn, limited, claim)
 	}
 }
 
-func (a *Acceptor) handle(ctx context.Context, conn net.Conn) {
+func (a *Acceptor) handle(ctx context.Context, conn net.Conn, limited *setUpConn, claim *budget.Claim) {
+	defer claim.Release()
 	if err := sockets.Configure(conn, unackedTimeout); err != nil {
 		a.mesh.log.Error(err, "failed to set TCP options", "remote", conn.RemoteAddr().String())
 	}
 	var s *session
 	err := supervise.Catch(part, func() (err error) {
 		defer a.mesh.handshakes.enterFor(maxHandshakeTurn)()
-		s, err = accept(conn, a.mesh.local)
+		s, err = accept(limited, a.mesh.local)
 		return err
 	})
 	if err != nil {
@@ -331,6 +351,12 @@
 		a.mesh.log.V(1).Info("rejected a session", "remote", conn.RemoteAddr().String(), "reason", err.Error())
 		return
 	}
+	if !claim.Settle() {
+		s.mux.Close()
+		return
+	}
+	claim.Release()
+	limited.setUp()
 	// The error of an ended session is ignored: the dialing side opens the next one.
 	_ = a.mesh.serve(ctx, s)
 }
--- a/root/platform.go
+++ b/root/platform.go
@@ -13,7 +13,6 @@
 	"github.com/wagtaildyke/wagtaildyke/root/gateway"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
-	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/relay"
 	"github.com/wagtaildyke/wagtaildyke/settings"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
@@ -57,24 +56,24 @@
 	if p.listeners.Platform.Frontend != nil {
 		p.routed = traffic.NewRouted(p.routedOptions())
 	}
-	gateway.New(p.tree, p.gatewayEndpoints(), p.serverOptions())
+	gateway.New(p.tree, p.gatewayEndpoints())
 }
 
 func (p *Process) gatewayEndpoints() []gateway.Endpoint {
 	var out []gateway.Endpoint
 	s, l := p.settings.Platform, p.listeners.Platform
 	if l.Readiness != nil {
-		out = append(out, gateway.Endpoint{Name: "readiness", Listener: l.Readiness, Handler: platform.NewReadiness(p.views)})
+		out = append(out, gateway.Endpoint{Name: "readiness", Listener: l.Readiness, Handler: platform.NewReadiness(p.views), Server: p.serverOptions(smallListener)})
 	}
 	if l.Directory != nil {
 		lifetime := settings.Millis(s.AddressLifetimeMillis)
-		out = append(out, gateway.Endpoint{Name: "directory", Listener: l.Directory, Handler: platform.NewDirectory(p.views, lifetime)})
+		out = append(out, gateway.Endpoint{Name: "directory", Listener: l.Directory, Handler: platform.NewDirectory(p.views, lifetime), Server: p.serverOptions(directoryListener)})
 	}
 	if l.ControlPlane != nil {
-		out = append(out, gateway.Endpoint{Name: "controlplane", Listener: l.ControlPlane, Handler: p.controlPlaneHandler()})
+		out = append(out, gateway.Endpoint{Name: "controlplane", Listener: l.ControlPlane, Handler: p.controlPlaneHandler(), Server: p.serverOptions(mainListener)})
 	}
 	if l.Metrics != nil {
-		out = append(out, gateway.Endpoint{Name: "metrics", Listener: l.Metrics, Handler: p.metrics.Handler()})
+		out = append(out, gateway.Endpoint{Name: "metrics", Listener: l.Metrics, Handler: p.metrics.Handler(), Server: p.serverOptions(smallListener)})
 	}
 	return out
 }
@@ -83,15 +82,6 @@
 	return platform.NewControl(gateway.NewRegistrar(p.views, p.loop), p.untrusted.bodies, p.log.WithName("gateway"))
 }
 
-func (p *Process) serverOptions() frontdoor.ServerOptions {
-	limits := p.settings.Limits
-	return frontdoor.ServerOptions{
-		MaxHeaderBytes: limits.MaxHeaderBytes,
-		HeaderTimeout:  settings.Millis(limits.HeaderTimeoutMillis),
-		IdleTimeout:    settings.Millis(limits.IdleTimeoutMillis),
-	}
-}
-
 func (p *Process) routedOptions() traffic.RoutedOptions {
 	s := p.settings.Platform
 	return traffic.RoutedOptions{
@@ -101,7 +91,7 @@
 		Loop:         p.loop,
 		Placer:       p.placer,
 		Applied:      p.applied.Load,
-		Server:       p.serverOptions(),
+		Server:       p.serverOptions(mainListener),
 		Backend:      func(t *engine.Transport) relay.Backend { return platform.NewBackend(t) },
 		NewHandler:   p.newIngress,
 		MaxBodyBytes: p.settings.Limits.MaxBodyBytes,
--- a/root/process.go
+++ b/root/process.go
@@ -152,7 +152,7 @@
 
 func (p *Process) build() error {
 	p.tree = supervise.NewRoot(p.log)
-	p.untrusted = newUntrusted(p.settings.Limits, p.log.WithName("traffic"))
+	p.untrusted = newUntrusted(p.settings, p.log.WithName("traffic"))
 	replica, err := p.openStorage()
 	if err != nil {
 		return err
@@ -308,6 +308,8 @@
 	token, err := readToken(p.settings.Operator.TokenFile)
 	return operator.Options{
 		Listener:  p.listeners.Operator,
+		Server:    p.serverOptions(smallListener),
+		Bodies:    p.untrusted.bodies,
 		Token:     token,
 		VM:        p.settings.VM,
 		Views:     p.views,
--- a/root/traffic/frontdoor/connections.go
+++ b/root/traffic/frontdoor/connections.go
@@ -22,6 +22,9 @@
 
 // observe records a change of state. It is called by net/http.
 func (c *connections) observe(conn net.Conn, state http.ConnState) {
+	if guarded, ok := conn.(*guardedConn); ok {
+		guarded.observe(state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -44,7 +47,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.quiet {
-		if time.Since(since) >= idleFor && !sockets.HasData(conn) {
+		if time.Since(since) >= idleFor && !sockets.HasData(rawConn(conn)) {
 			// The server's read fails, and it closes the connection.
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
 			delete(c.quiet, conn)
--- a/root/traffic/frontdoor/server.go
+++ b/root/traffic/frontdoor/server.go
@@ -24,11 +24,15 @@
 	MaxHeaderBytes int
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// Guard bounds the connections and heads of the server; nil for no bounds.
+	Guard *Guard
 }
 
 // Server is an HTTP server that runs as a supervised service.
 type Server struct {
-	listener    *drainingListener
+	listener *drainingListener
+	// accepted is listener, with the bounds of a Guard if there is one.
+	accepted    net.Listener
 	server      *http.Server
 	connections *connections
 	// closing is set once responses tell clients to open another connection.
@@ -38,16 +42,36 @@
 // NewServer returns a Server that accepts connections from listener.
 func NewServer(listener net.Listener, h http.Handler, o ServerOptions) *Server {
 	s := &Server{listener: &drainingListener{Listener: listener}, connections: newConnections()}
+	s.accepted = s.listener
+	if o.Guard != nil {
+		s.accepted = &guardedListener{Listener: s.listener, guard: o.Guard}
+	}
 	s.server = &http.Server{
-		Handler:           s.announceClose(resetAborted(h)),
+		Handler:           abortEvicted(s.announceClose(resetAborted(h))),
 		MaxHeaderBytes:    o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ConnState:         s.connections.observe,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	return s
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// abortEvicted does not run a request whose connection was evicted as its head ended.
+func abortEvicted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*guardedConn); ok && conn.wasEvicted() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // announceClose adds Connection: close to the responses of a server that closes its
 // connections.
 func (s *Server) announceClose(next http.Handler) http.Handler {
@@ -75,7 +99,7 @@
 			if err != nil {
 				panic(reason)
 			}
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := rawConn(conn).(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
 			}
 			conn.Close()
@@ -89,7 +113,7 @@
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.server.Close() })
 	defer stop()
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(s.accepted)
 	if errors.Is(err, http.ErrServerClosed) || s.listener.draining.Load() {
 		<-ctx.Done()
 		return ctx.Err()
--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -84,7 +84,7 @@
 
 		LogLinesDropped: requestRelay.LogLinesDropped,
 	}
-	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses"} {
+	for _, name := range []string{"engine", "relay", "placement", "admission", "addresses", "budget", "intake"} {
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -23,7 +23,7 @@
 // tree as parts without a goroutine of their own, because they run on the goroutines
 // of requests. relay, segments and placement are listed too, but run only in a process that
 // NewRouted assembles.
-var passivePackages = []string{"forward", "relay", "segments", "placement", "dispatch", "admission", "scheduling", "addresses"}
+var passivePackages = []string{"forward", "relay", "segments", "placement", "dispatch", "admission", "scheduling", "addresses", "budget", "intake"}
 
 // Options configure the traffic part of a process that dispatches requests by class.
 type Options struct {
--- a/root/untrusted.go
+++ b/root/untrusted.go
@@ -21,15 +21,24 @@
 // Shares of the memory of a process. What is left is for the process itself, for responses
 // and for the garbage collector.
 const (
-	largeBodiesShare = 0.22
+	largeBodiesShare = 0.20
 	smallBodiesShare = 0.08
+	largeHeadsShare  = 0.04
+	smallHeadsShare  = 0.08
+	connectionsShare = 0.22
 	// collectorShare is where the garbage collector works harder to stay below the memory.
-	collectorShare = 0.85
+	collectorShare = 0.80
 )
 
 const (
 	// smallBody is the size up to which bodies are in the reserve for small ones.
 	smallBody = 64 << 10
+	// smallHead is the estimated memory up to which heads are in the reserve for small ones.
+	// A head of 4 KB in 50 lines takes 25 KB.
+	smallHead = 32 << 10
+	// connectionMemory is what net/http and the runtime hold for a connection without a
+	// request: two buffers of 4 KB, the stack of its goroutine and its structures.
+	connectionMemory = 20 << 10
 	// minBodyStall is how long a body must have made no progress before it is evicted. A
 	// body that arrives at a steady 32 KB a second is never evicted.
 	minBodyStall = 500 * time.Millisecond
@@ -37,13 +46,19 @@
 
 // untrusted bounds what callers make this process hold.
 type untrusted struct {
-	memory   int64
-	bodies   *intake.Reader
-	refusals *refusals
+	memory int64
+	bodies *intake.Reader
+	heads  *budget.Budget
+	// connections holds the bound of each kind of listener.
+	connections map[listenerKind]int64
+	refusals    *refusals
 }
 
-func newUntrusted(limits settings.Limits, log logr.Logger) *untrusted {
+func newUntrusted(s *settings.Settings, log logr.Logger) *untrusted {
+	limits := s.Limits
 	u := &untrusted{memory: processMemory(limits), refusals: newRefusals(log)}
+	u.connections = connectionBounds(s, openFiles(), u.share(connectionsShare)/connectionMemory)
+	u.heads = budget.New(budget.Options{Small: u.share(smallHeadsShare), Large: u.share(largeHeadsShare), SmallClaim: smallHead})
 	u.bodies = intake.New(intake.Options{
 		Budget: budget.New(budget.Options{
 			Small: u.share(smallBodiesShare), Large: u.share(largeBodiesShare), SmallClaim: smallBody, MinStall: minBodyStall,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -130,15 +130,20 @@
 
 // Limits restricts the requests that an entry accepts from callers.
 type Limits struct {
-	MaxBodyBytes        int64 `json:"max_body_bytes"`
-	MaxHeaderBytes      int   `json:"max_header_bytes"`
-	HeaderTimeoutMillis int   `json:"header_timeout_ms"`
-	BodyTimeoutMillis   int   `json:"body_timeout_ms"`
-	IdleTimeoutMillis   int   `json:"idle_timeout_ms"`
+	MaxBodyBytes   int64 `json:"max_body_bytes"`
+	MaxHeaderBytes int   `json:"max_header_bytes"`
+	// MaxHeaderLines is the maximum number of lines of a request's head.
+	MaxHeaderLines      int `json:"max_header_lines"`
+	HeaderTimeoutMillis int `json:"header_timeout_ms"`
+	BodyTimeoutMillis   int `json:"body_timeout_ms"`
+	IdleTimeoutMillis   int `json:"idle_timeout_ms"`
 	// BodyProgressTimeoutMillis limits the time without a byte of a request body.
 	BodyProgressTimeoutMillis int `json:"body_progress_timeout_ms"`
 	// WriteTimeoutMillis limits the time of one write to a slow caller.
 	WriteTimeoutMillis int `json:"write_timeout_ms"`
+	// Connections is the maximum number of connections of each listener for callers or
+	// backend servers; 0 for a share of the descriptors and of the memory.
+	Connections int `json:"connections"`
 	// MemoryBytes is the memory that this process may use; 0 for the limit that the system
 	// reports. It may be written as 184e6.
 	MemoryBytes float64 `json:"memory_bytes"`
@@ -165,6 +170,7 @@
 		Limits: Limits{
 			MaxBodyBytes:        8 << 20,
 			MaxHeaderBytes:      32 << 10,
+			MaxHeaderLines:      8 << 10,
 			HeaderTimeoutMillis: 5_000,
 			BodyTimeoutMillis:   30_000,
 			IdleTimeoutMillis:   60_000,
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -147,6 +147,8 @@
 	}{
 		{"/limits/max_body_bytes", l.MaxBodyBytes, 1 << 10, 1 << 30},
 		{"/limits/max_header_bytes", int64(l.MaxHeaderBytes), 1 << 10, 1 << 20},
+		{"/limits/max_header_lines", int64(l.MaxHeaderLines), 100, 1 << 20},
+		{"/limits/connections", int64(l.Connections), 0, 1 << 20},
 		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis), 1, hourMillis},
 		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis), 1, hourMillis},
 		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis), 1, hourMillis},
