--- a/root/traffic/intake/http.go
+++ b/root/traffic/intake/http.go
@@ -12,6 +12,7 @@
 	src := Source{
 		Reader:  http.MaxBytesReader(w, r.Body, limit),
 		Length:  r.ContentLength,
+		Limit:   limit,
 		Timeout: timeout,
 		// A connection without support for deadlines is read without one.
 		SetDeadline: func(at time.Time) { _ = control.SetReadDeadline(at) },
--- a/root/traffic/intake/intake.go
+++ b/root/traffic/intake/intake.go
@@ -65,6 +65,8 @@
 	io.Reader
 	// Length is the stated length, or negative if none is stated.
 	Length int64
+	// Limit is the maximum length, after which reads fail.
+	Limit int64
 	// Timeout is the time in which the whole body must arrive.
 	Timeout time.Duration
 	// SetDeadline sets the deadline of reads. A zero time means none. It may be called
@@ -178,7 +180,8 @@
 		in.buffer = append(in.buffer, extra[0])
 		return true, err
 	}
-	next := max(2*size, firstStep)
+	// A body of the maximum length has space for one more byte, whose read ends it.
+	next := min(max(2*size, firstStep), max(in.src.Limit, size)+1)
 	if in.src.Length > size {
 		next = min(next, in.src.Length)
 	}
--- a/root/untrusted.go
+++ b/root/untrusted.go
@@ -21,7 +21,6 @@
 // Shares of the memory of a process. What is left is for the process itself, for responses
 // and for the garbage collector.
 const (
-	largeBodiesShare = 0.20
 	smallBodiesShare = 0.08
 	largeHeadsShare  = 0.04
 	smallHeadsShare  = 0.08
@@ -61,7 +60,7 @@
 	u.heads = budget.New(budget.Options{Small: u.share(smallHeadsShare), Large: u.share(largeHeadsShare), SmallClaim: smallHead})
 	u.bodies = intake.New(intake.Options{
 		Budget: budget.New(budget.Options{
-			Small: u.share(smallBodiesShare), Large: u.share(largeBodiesShare), SmallClaim: smallBody, MinStall: minBodyStall,
+			Small: u.share(smallBodiesShare), Large: u.share(settings.LargeBodiesShare), SmallClaim: smallBody, MinStall: minBodyStall,
 		}),
 		ProgressTimeout: settings.Millis(limits.BodyProgressTimeoutMillis),
 		OnRefused:       func(reason intake.Reason) { u.refusals.count(string(reason)) },
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -76,3 +77,29 @@
 		}
 	})
 }
+
+// The memory is written in the exponent form that the template of the platform renders, and
+// a process must not start with so little that it can't read one body.
+func TestMemoryOfTheProcess(t *testing.T) {
+	c := qt.New(t)
+	base := `{"cluster":"c","vm":"v","members":[{"vm":"v","failure_domain":"a","address":"10.0.0.1:1","replica":false},` +
+		`{"vm":"r","failure_domain":"a","address":"10.0.0.2:1","replica":true}],"peers":{"listen":"10.0.0.1:1","allow_plaintext":true},` +
+		`"operator":{"listen":"127.0.0.1:0"},"limits":{%s}}`
+	for limits, want := range map[string]string{
+		`"memory_bytes": 184e6`:   "",
+		`"memory_bytes": 283.5e6`: "",
+		``:                        "",
+		`"memory_bytes": 1e6`:     "memory_bytes",
+		`"memory_bytes": 100e6, "max_body_bytes": 30000000`: "max_body_bytes",
+		`"max_header_lines": 0`:                             "max_header_lines",
+		`"connections": -1`:                                 "connections",
+		`"body_progress_timeout_ms": 0`:                     "body_progress_timeout_ms",
+	} {
+		_, err := settings.Parse("s.jsonc", []byte(fmt.Sprintf(base, limits)))
+		if want == "" {
+			c.Check(err, qt.IsNil, qt.Commentf("%s", limits))
+			continue
+		}
+		c.Check(err, qt.ErrorMatches, ".*limits."+want+".*", qt.Commentf("%s", limits))
+	}
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -164,9 +164,15 @@
 	if l.MemoryBytes != 0 && (l.MemoryBytes < MinMemoryBytes || l.MemoryBytes > maxMemoryBytes) {
 		return src.fieldError("/limits/memory_bytes", "must be 0, or %d to %d", MinMemoryBytes, int64(maxMemoryBytes))
 	}
+	if l.MemoryBytes != 0 && float64(l.MaxBodyBytes) > l.MemoryBytes*LargeBodiesShare {
+		return src.fieldError("/limits/max_body_bytes", "must be at most %g of memory_bytes", LargeBodiesShare)
+	}
 	return nil
 }
 
+// LargeBodiesShare is the part of the memory that may hold request bodies over 64 KB.
+const LargeBodiesShare = 0.2
+
 // Bounds of the memory of a process. With MinMemoryBytes, the reserve for large bodies still
 // has space for two of them with the bound of the users' platform.
 const (
