--- a/root/traffic/routed.go
+++ b/root/traffic/routed.go
@@ -89,7 +89,7 @@
 		LogLinesDropped: requestRelay.LogLinesDropped,
 		RefusedKeys:     requestRelay.RefusedKeys,
 	}
-	for _, name := range []string{"engine", "tenancy", "placement", "admission", "addresses"} {
+	for _, name := range []string{"engine", "tenancy", "placement", "admission", "addresses", "budget", "intake"} {
 		node.Passive(name)
 	}
 	node.Service("usage", usage.New(o.Loop, usage.PlacementSource{Placer: o.Placer}, requestRelay.InFlight, o.Applied))
--- a/root/traffic/traffic.go
+++ b/root/traffic/traffic.go
@@ -14,6 +14,7 @@
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/forward"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/frontdoor"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/intake"
 	"github.com/wagtaildyke/wagtaildyke/root/traffic/usage"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
@@ -22,7 +23,9 @@
 // tree as parts without a goroutine of their own, because they run on the goroutines
 // of requests. relay, segments and placement are listed too, but run only in a process that
 // NewRouted assembles.
-var passivePackages = []string{"forward", "relay", "tenancy", "segments", "placement", "dispatch", "admission", "scheduling", "addresses"}
+var passivePackages = []string{
+	"forward", "relay", "tenancy", "segments", "placement", "dispatch", "admission", "scheduling", "addresses", "budget", "intake",
+}
 
 // Options configure the traffic part of a process that dispatches requests by class.
 type Options struct {
@@ -39,7 +42,9 @@
 	// Incarnation is unique to the lifetime of this process.
 	Incarnation uint64
 	Limits      frontdoor.Limits
-	Server      frontdoor.ServerOptions
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
+	Server frontdoor.ServerOptions
 	// AddressLifetime is how long callers may use a list of addresses.
 	AddressLifetime time.Duration
 	// NewID returns a new request id.
@@ -75,6 +80,7 @@
 		Forwarder:       forwarder,
 		Announce:        func(ctx context.Context, s fleet.Server) error { return loop.Announce(ctx, o.Loop, s) },
 		Limits:          o.Limits,
+		Bodies:          o.Bodies,
 		AddressLifetime: o.AddressLifetime,
 		NewID:           o.NewID,
 		Log:             node.Log().WithName("frontdoor"),
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -147,9 +147,12 @@
 	}{
 		{"/limits/max_body_bytes", l.MaxBodyBytes, 1 << 10, 1 << 30},
 		{"/limits/max_header_bytes", int64(l.MaxHeaderBytes), 1 << 10, 1 << 20},
+		{"/limits/max_header_lines", int64(l.MaxHeaderLines), 100, 1 << 20},
+		{"/limits/connections", int64(l.Connections), 0, 1 << 20},
 		{"/limits/header_timeout_ms", int64(l.HeaderTimeoutMillis), 1, hourMillis},
 		{"/limits/body_timeout_ms", int64(l.BodyTimeoutMillis), 1, hourMillis},
 		{"/limits/idle_timeout_ms", int64(l.IdleTimeoutMillis), 1, hourMillis},
+		{"/limits/body_progress_timeout_ms", int64(l.BodyProgressTimeoutMillis), 1, hourMillis},
 		{"/limits/write_timeout_ms", int64(l.WriteTimeoutMillis), 1, hourMillis},
 		{"/stop/drain_limit_seconds", int64(s.Stop.DrainLimitSeconds), 1, daySeconds},
 	}
@@ -158,9 +161,25 @@
 			return src.fieldError(r.field, "must be %d to %d", r.min, r.max)
 		}
 	}
+	if l.MemoryBytes != 0 && (l.MemoryBytes < MinMemoryBytes || l.MemoryBytes > maxMemoryBytes) {
+		return src.fieldError("/limits/memory_bytes", "must be 0, or %d to %d", MinMemoryBytes, int64(maxMemoryBytes))
+	}
+	if l.MemoryBytes != 0 && float64(l.MaxBodyBytes) > l.MemoryBytes*LargeBodiesShare {
+		return src.fieldError("/limits/max_body_bytes", "must be at most %g of memory_bytes", LargeBodiesShare)
+	}
 	return nil
 }
 
+// LargeBodiesShare is the part of the memory that may hold request bodies over 64 KB.
+const LargeBodiesShare = 0.2
+
+// Bounds of the memory of a process. With MinMemoryBytes, the reserve for large bodies still
+// has space for two of them with the bound of the users' platform.
+const (
+	MinMemoryBytes = 64 << 20
+	maxMemoryBytes = 1 << 42
+)
+
 // Maximum durations in settings.
 const (
 	hourMillis = 3_600_000
