--- a/root/control/quarantine/failures.go
+++ b/root/control/quarantine/failures.go
@@ -21,6 +21,10 @@
 	// the same set counts even so, because several crashing segments may be probed together.
 	massEngines = 3
 	massWindow  = 500 * time.Millisecond
+	// commonFailures is the number of failed probes from which the only segment that they
+	// have in common is confirmed. Two may share a healthy one if there are two crashing
+	// segments, whose own probes come first if they are requested alone.
+	commonFailures = 3
 	// deadWindow is how long entries may still send requests to an engine that was lost. A
 	// probe that was granted in this time and fails there shows nothing.
 	deadWindow = 3 * time.Second
@@ -199,8 +203,9 @@
 	})
 }
 
-// judgeNext returns the segments that the first conclusive failed probe, or the first two
-// with the same segments, are explained by; nil if there are none.
+// judgeNext returns the segments that the first conclusive failed probe, the first two with
+// the same segments, or several with one common segment are explained by; nil if there are
+// none.
 func (t *Tracker) judgeNext(held *State) []Segment {
 	var open []*failure
 	for _, f := range t.failures {
@@ -225,10 +230,31 @@
 		if len(f.segments) == 1 || slices.ContainsFunc(open[:i], func(other *failure) bool { return slices.Equal(other.segments, f.segments) }) {
 			return slices.Clone(f.segments)
 		}
+		if s, found := onlyCommon(f, open[:i+1]); found {
+			return []Segment{s}
+		}
 	}
 	return nil
 }
 
+// onlyCommon returns the segment of f that is the only one common to at least commonFailures
+// of the failures, and whether there is one.
+func onlyCommon(f *failure, failures []*failure) (Segment, bool) {
+	for _, s := range f.segments {
+		common, n := f.segments, 0
+		for _, other := range failures {
+			if slices.Contains(other.segments, s) {
+				n++
+				common = slices.DeleteFunc(slices.Clone(common), func(x Segment) bool { return !slices.Contains(other.segments, x) })
+			}
+		}
+		if n >= commonFailures && len(common) == 1 {
+			return s, true
+		}
+	}
+	return 0, false
+}
+
 // isHeld reports whether the segment is in quarantine or about to be.
 func (t *Tracker) isHeld(s Segment, held *State) bool {
 	_, confirmed := t.confirmed[s]
