--- a/root/control/quarantine/probes.go
+++ b/root/control/quarantine/probes.go
@@ -94,8 +94,14 @@
 	listed := make(map[uint64]bool, len(requests))
 	for _, r := range requests[:min(len(requests), MaxProbes)] {
 		listed[r.ID] = true
-		if v.probes[r.ID] == nil && len(r.Segments) > 0 {
+		switch x := v.probes[r.ID]; {
+		case x == nil && len(r.Segments) > 0:
 			v.probes[r.ID] = p.add(vm, r, now)
+		case x != nil && r.GrantedAt.IsZero() && p.hasLapsed(x, now):
+			// The grant has not reached the process, which still wants the probe.
+			delete(p.granted, x)
+			x.grantedAt = time.Time{}
+			p.wait(x)
 		}
 	}
 	var ended []Grant
@@ -121,15 +127,25 @@
 		p.granted[x] = true
 		return x
 	}
-	key := setKey(segments)
+	p.wait(x)
+	return x
+}
+
+// wait lets a probe wait for its grant.
+func (p *Probes) wait(x *probe) {
+	key := setKey(x.segments)
 	set := p.sets[key]
 	if set == nil {
-		set = &probeSet{segments: segments}
+		set = &probeSet{segments: x.segments}
 		p.sets[key] = set
 	}
 	set.waiting = append(set.waiting, x)
 	p.pending = true
-	return x
+}
+
+// hasLapsed reports whether the probe was granted and the grant no longer holds.
+func (p *Probes) hasLapsed(x *probe, now time.Time) bool {
+	return !x.grantedAt.IsZero() && (!p.granted[x] || now.Sub(x.grantedAt) >= GrantLifetime)
 }
 
 func setKey(segments []Segment) string {
