--- a/root/traffic/relay/gate.go
+++ b/root/traffic/relay/gate.go
@@ -159,14 +159,14 @@
 
 func (r *requestRun) logGrant() {
 	if r.probe != nil {
-		r.Log.Info("probe granted", "request", r.req.ID, "suspects", segmentKeys(r.probe))
+		r.Log.Info("probe granted", "request", r.id, "suspects", segmentKeys(r.probe))
 	}
 }
 
 // logProbe counts and logs the end of a probe that was granted.
 func (r *requestRun) logProbe(p *segments.Probe, result probeResult, server string) {
 	r.Observer.ObserveProbe(string(result))
-	r.Log.Info("probe ended", "request", r.req.ID, "server", server, "result", string(result), "suspects", segmentKeys(p))
+	r.Log.Info("probe ended", "request", r.id, "server", server, "result", string(result), "suspects", segmentKeys(p))
 }
 
 func segmentKeys(p *segments.Probe) []string {
--- a/root/traffic/relay/losses.go
+++ b/root/traffic/relay/losses.go
@@ -195,7 +195,7 @@
 	if e.err != nil {
 		reason = e.err.Error()
 	}
-	fields := []any{"request", r.req.ID, "server", e.lease.Server().ID, "result", result.String(), "reason", reason}
+	fields := []any{"request", r.id, "server", e.lease.Server().ID, "result", result.String(), "reason", reason}
 	if dialErr != nil {
 		fields = append(fields, "dial", dialErr.Error())
 	}
--- a/root/traffic/relay/prefill.go
+++ b/root/traffic/relay/prefill.go
@@ -97,7 +97,7 @@
 // attempt ends without an error.
 func (r *requestRun) prefillFailed(server string, err error) {
 	r.exclude = append(r.exclude, server)
-	r.Log.V(1).Info("prefill failed", "request", r.req.ID, "server", server, "reason", err.Error())
+	r.Log.V(1).Info("prefill failed", "request", r.id, "server", server, "reason", err.Error())
 	if notSent(err) {
 		return
 	}
@@ -128,7 +128,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		if err := supervise.Catch(part, func() error { return r.Backend.Release(ctx, handle) }); err != nil {
-			r.Log.V(1).Info("failed to release KV cache; it will expire", "request", r.req.ID,
+			r.Log.V(1).Info("failed to release KV cache; it will expire", "request", r.id,
 				"server", handle.Server.ID, "reason", err.Error())
 		}
 	}()
--- a/root/traffic/relay/relay.go
+++ b/root/traffic/relay/relay.go
@@ -254,7 +254,7 @@
 	}
 	service, _ := v.Routes.Service(route.PickService(r.Random()))
 	return &requestRun{
-		Relay: r, req: req, route: route, service: service,
+		Relay: r, id: req.ID, req: req, route: route, service: service,
 		routesVersion: v.Routes.Version, document: v.Routes, decision: decision,
 	}, nil
 }
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -26,7 +26,11 @@
 // was sent or the server stated that it did not run it; ran never returns to RanNo.
 type requestRun struct {
 	*Relay
+	id string
+	// req and sink are nil once serve has returned: the check of a server may use the run
+	// for longer, and must not keep the bodies of requests that have ended.
 	req   *Request
+	sink  Sink
 	route *routes.Route
 	// routesVersion is the version of the routes that matched the request.
 	routesVersion uint64
@@ -36,7 +40,6 @@
 	document *routes.Document
 	// keyRefused is set once a key that admitted the request has been removed.
 	keyRefused bool
-	sink       Sink
 	deadline   time.Time
 	// transmissions counts the transmissions of which a server may have received a
 	// part, including failed prefill calls but not successful ones.
@@ -76,6 +79,7 @@
 }
 
 func (r *requestRun) serve(ctx context.Context) error {
+	defer func() { r.req, r.sink = nil, nil }()
 	defer r.releaseCache()
 	defer func() { r.endProbe(probeNoResult) }()
 	var last *fault.Error
@@ -146,7 +150,7 @@
 	}
 	decision := lease.Decision()
 	fields := []any{
-		"request", r.req.ID, "route", r.route.Name, "server", lease.Server().ID, "stage", decision.Stage.String(),
+		"request", r.id, "route", r.route.Name, "server", lease.Server().ID, "stage", decision.Stage.String(),
 		"outcome", outcome.String(), "first_ms", lease.TimeToFirstOutput().Milliseconds(), "age_ms", time.Since(r.req.Arrived).Milliseconds(),
 		"running", decision.Running, "queued", int(decision.QueuedTokens), "missing", int(decision.UncachedTokens),
 		"home", decision.PrefillHome, "copy_from", decision.CopyFrom, "predicted_ms", decision.PrefillTime.Milliseconds(), "slowness", decision.Slowness,
@@ -248,7 +252,7 @@
 		NamesNoLimit: h.LimitPerSecond == 0 && h.Status/100 == 2,
 	}
 	if lease.Observe(notice) {
-		r.Log.Info("server wants other requests", "request", r.req.ID, "server", lease.Server().ID,
+		r.Log.Info("server wants other requests", "request", r.id, "server", lease.Server().ID,
 			"leaving", h.Leaving, "retry_after", h.RetryAfter.String(), "limit_per_second", h.LimitPerSecond)
 	}
 }
