--- a/root/traffic/placement/notice.go
+++ b/root/traffic/placement/notice.go
@@ -39,7 +39,7 @@
 // Observe applies a notice from the head of the response to the request. It reports
 // whether the notice says more than earlier ones of the server.
 func (r *Run) Observe(now time.Time, n Notice) bool {
-	r.server.lastResponse = now
+	r.server.lastResponse, r.responded = now, now
 	limited := false
 	if n.LimitPerSecond > 0 || n.NamesNoLimit {
 		limited = r.state.observeLimit(now, r, n.LimitPerSecond)
--- a/root/traffic/placement/run.go
+++ b/root/traffic/placement/run.go
@@ -20,7 +20,9 @@
 	decision             Decision
 	model                *prefillModel
 	placed               time.Time
-	prefilled, ended     bool
+	// responded is when the head of the response arrived.
+	responded        time.Time
+	prefilled, ended bool
 }
 
 func (s *State) begin(now time.Time, req Request, c Candidate, candidateCount int) *Run {
--- a/root/traffic/relay/deliver.go
+++ b/root/traffic/relay/deliver.go
@@ -50,7 +50,6 @@
 // what the caller has.
 func (r *requestRun) streamEvents(lease *placement.Lease, resp Response, watch *watchdog) (placement.Outcome, error) {
 	r.position.begin()
-	var survival survivalClock
 	for {
 		ev, err := resp.Next()
 		// An error that wraps io.EOF is a stream that was cut.
@@ -65,7 +64,7 @@
 		}
 		lease.MarkFirstOutput()
 		watch.disarm()
-		if survival.due(time.Now()) {
+		if r.survival.due(time.Now()) {
 			r.observeSurvival(lease)
 		}
 		send, err := r.position.accept(ev)
--- a/root/traffic/relay/harness_test.go
+++ b/root/traffic/relay/harness_test.go
@@ -44,6 +44,8 @@
 	hang      time.Duration
 	// pause is the delay before the last event.
 	pause time.Duration
+	// gap is the delay before each other event but the first.
+	gap time.Duration
 	// raw is the bytes of the event stream, in place of events.
 	raw string
 }
@@ -257,6 +259,9 @@
 		}
 	}
 	if r.lastID < uint64(r.events) {
+		if r.lastID > 0 {
+			time.Sleep(r.gap)
+		}
 		r.lastID++
 		return engine.VerbatimEvent{ID: r.lastID, Bytes: []byte("e")}, nil
 	}
--- a/root/traffic/relay/losses.go
+++ b/root/traffic/relay/losses.go
@@ -28,8 +28,8 @@
 	survivedIfAccepting
 	// lost means that the engine ended as the response began.
 	lost
-	// lostIfGone means that there was no response or output and that the engine may have
-	// ended. Otherwise it had no room for the connection or took too long.
+	// lostIfGone means that there was no response, no output or only its beginning, and that
+	// the engine may have ended. Otherwise it had no room for the connection or took too long.
 	lostIfGone
 )
 
@@ -45,6 +45,20 @@
 	err      error
 	// timedOut is set if the deadline or the watchdog ended the call.
 	timedOut bool
+	// abandoned is set if the end of the request ended the call: its deadline, or the
+	// caller left.
+	abandoned bool
+	// outputTime is the time from the first output to the last; 0 without output.
+	outputTime time.Duration
+}
+
+// stalled reports whether the call waited for the server when it ended, and the server has
+// responded to none since. For a probe it doesn't matter whether the deadline or the caller
+// ended it: callers often leave at their deadline, and each probe without a result on an
+// engine that hangs costs another engine. Checks of other requests that callers give up
+// would be many.
+func (e endedCall) stalled() bool {
+	return (e.timedOut || e.abandoned && e.probe != nil) && e.lease.Silent()
 }
 
 // evidence returns what the call shows. A call that can't have reached the engine shows
@@ -63,6 +77,8 @@
 		return lost
 	case engine.Unreachable(e.err) && e.lease.TimeToFirstOutput() == 0:
 		return lostIfGone
+	case !e.answered && e.stalled() && e.outputTime <= beginningTime:
+		return lostIfGone
 	default:
 		return noEvidence
 	}
@@ -75,7 +91,7 @@
 	if !errors.As(e.err, &send) || send.NotSent {
 		return noEvidence
 	}
-	if engine.ClosedByPeer(e.err) || engine.Unreachable(e.err) || e.timedOut && e.lease.Silent() {
+	if engine.ClosedByPeer(e.err) || engine.Unreachable(e.err) || e.stalled() {
 		return lostIfGone
 	}
 	return noEvidence
--- a/root/traffic/relay/losses_test.go
+++ b/root/traffic/relay/losses_test.go
@@ -111,6 +111,52 @@
 	}
 }
 
+// TestResponseThatStallsAsItBeginsIsALoss guards against engines that stop answering after
+// the first event with open connections, which nothing but the deadline tells of. A longer
+// output shows that they survive the prompt, or at least says nothing about it.
+func TestResponseThatStallsAsItBeginsIsALoss(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script scriptedResponse
+		check  func(string) error
+		lost   int
+	}{
+		"gone":          {scriptedResponse{status: 200, events: 2, pause: time.Minute}, refused, 2},
+		"accepting":     {scriptedResponse{status: 200, events: 2, pause: time.Minute}, nil, 0},
+		"longer output": {scriptedResponse{status: 200, events: 3, pause: time.Minute, gap: 300 * time.Millisecond}, refused, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(c *qt.C, h *harness) {
+				if tc.check != nil {
+					h.check = tc.check
+				}
+				h.script = []scriptedResponse{tc.script}
+				h.serve(promptRequest("/stream/"))
+				sleep(checkTime)
+				c.Assert(h.lost, qt.HasLen, tc.lost)
+			})
+		})
+	}
+}
+
+// TestStallAtAnEngineThatRespondsToOthersIsNoLoss guards against blaming the prompt when the
+// engine has begun other responses since.
+func TestStallAtAnEngineThatRespondsToOthersIsNoLoss(t *testing.T) {
+	withHarness(t, func(c *qt.C, h *harness) {
+		h.check = refused
+		h.relay.Placer.SetView(onlyServer(h, "decode-1"))
+		h.script = []scriptedResponse{{status: 200, events: 2, pause: time.Minute}, {status: 200, events: 2}}
+		var calls sync.WaitGroup
+		calls.Go(func() { h.serve(promptRequest("/stream/")) })
+		sleep(time.Second)
+		_, err := h.serve(promptRequest("/stream/"))
+		c.Assert(err == nil, qt.IsTrue)
+		calls.Wait()
+		sleep(checkTime)
+		c.Assert(h.checked, qt.HasLen, 0)
+		c.Assert(h.lost, qt.HasLen, 0)
+	})
+}
+
 // TestSlowEngineThatRespondsToOthersIsNotChecked guards against dials, and losses by a full
 // backlog, for requests that only took too long.
 func TestSlowEngineThatRespondsToOthersIsNotChecked(t *testing.T) {
--- a/root/traffic/relay/probe_test.go
+++ b/root/traffic/relay/probe_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"syscall"
@@ -67,6 +68,33 @@
 	}
 }
 
+// TestProbeThatStallsHasFailedIfTheEngineIsGone guards against probes without a result on
+// engines that stop answering with open connections: each further one would cost an engine.
+// Callers may leave a moment before the deadline, which ends the probe.
+func TestProbeThatStallsHasFailedIfTheEngineIsGone(t *testing.T) {
+	for name, script := range map[string]scriptedResponse{
+		"before the head": {hang: time.Minute}, "after one event": {status: 200, events: 2, pause: time.Minute},
+	} {
+		for cause, timeout := range map[string]time.Duration{"deadline": time.Minute, "caller": 1900 * time.Millisecond} {
+			t.Run(name+", "+cause, func(t *testing.T) {
+				withHarness(t, func(c *qt.C, h *harness) {
+					h.control.grants = true
+					h.check = refused
+					h.suspect("b")
+					h.script = []scriptedResponse{script}
+					ctx, leave := context.WithCancel(context.Background())
+					defer time.AfterFunc(timeout, leave).Stop()
+					h.relay.Serve(ctx, promptRequest("/resumable/"), &fakeSink{})
+					c.Assert(h.sent, qt.HasLen, 1)
+					sleep(checkTime)
+					c.Assert(h.probes, qt.DeepEquals, []string{"failed"})
+					c.Assert(h.control.failures(), qt.HasLen, 1)
+				})
+			})
+		}
+	}
+}
+
 // TestProbeIsListedUntilItsCheckEnds guards against a second probe of the segment, and a
 // second engine, while the entry finds out about the first one.
 func TestProbeIsListedUntilItsCheckEnds(t *testing.T) {
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -61,6 +61,8 @@
 	// for none. probeSent is set once it may have reached an engine.
 	probe     *segments.Probe
 	probeSent bool
+	// survival is the clock of the stream of the current attempt.
+	survival survivalClock
 	// waited is the time for which the request has waited for suspects.
 	waited time.Duration
 	// retryReserved is set when the watchdog has taken a retry from the retry budget,
@@ -117,12 +119,16 @@
 	defer func() { r.endAttempt(lease, outcome, err) }()
 	watch := r.newWatchdog(ctx)
 	defer watch.stop()
+	r.survival = survivalClock{}
 	resp, err := r.send(watch.ctx, lease)
 	if err == nil {
 		defer resp.Close()
 		outcome, err = r.deliver(lease, resp, watch)
 	}
-	call := endedCall{lease: lease, probe: r.takeProbe(), answered: outcome == placement.Answered && err == nil, err: err, timedOut: timedOut(ctx, watch.ctx)}
+	call := endedCall{
+		lease: lease, probe: r.takeProbe(), answered: outcome == placement.Answered && err == nil, err: err,
+		timedOut: timedOut(ctx, watch.ctx), abandoned: ctx.Err() != nil, outputTime: r.survival.outputTime(),
+	}
 	if resp != nil {
 		call.head = resp.Head()
 	}
--- a/root/traffic/relay/segments.go
+++ b/root/traffic/relay/segments.go
@@ -39,10 +39,14 @@
 
 // survivalClock tells when a stream shows that its engine survives: for each survivalTime
 // after the first event.
-type survivalClock struct{ next time.Time }
+type survivalClock struct{ first, last, next time.Time }
 
 // due is called for each event.
 func (s *survivalClock) due(now time.Time) bool {
+	s.last = now
+	if s.first.IsZero() {
+		s.first = now
+	}
 	if !s.next.IsZero() && now.Before(s.next) {
 		return false
 	}
@@ -51,6 +55,9 @@
 	return !first
 }
 
+// outputTime returns the time from the first event to the last.
+func (s *survivalClock) outputTime() time.Duration { return s.last.Sub(s.first) }
+
 // heldSegments returns the shared segments of the prompt, each once. The last segment
 // belongs to the request alone.
 func (r *requestRun) heldSegments() []quarantine.Segment {
