--- a/root/traffic/relay/gate.go
+++ b/root/traffic/relay/gate.go
@@ -18,9 +18,9 @@
 	// suspectRetry is the suggested delay before a retry of a request that was refused for
 	// a suspect.
 	suspectRetry = time.Second
-	// grantLifetime is how long after its arrival the permission for a probe may be used.
+	// maxGrantAge is how long after its arrival a grant may be used to send a probe.
 	// The leader lets another process probe the same segments 3 s after it gave it.
-	grantLifetime = time.Second
+	maxGrantAge = time.Second
 )
 
 // probeResult is how a probe ended.
@@ -128,7 +128,7 @@
 func (r *requestRun) mayUseGrant() bool {
 	now := r.LeaseNow()
 	at, granted := r.probe.GrantedAt()
-	return granted && now.Sub(at) < grantLifetime && r.Views.Load().Fresh(now)
+	return granted && now.Sub(at) < maxGrantAge && r.Views.Load().Fresh(now)
 }
 
 // checkSuspects returns an error if the request must not be transmitted now. Other entries
--- a/root/traffic/relay/run.go
+++ b/root/traffic/relay/run.go
@@ -92,6 +92,7 @@
 		}
 		last = fault.From(err)
 		if errors.Is(err, errSuspect) {
+			// This attempt sent nothing, so another one repeats no work.
 			continue
 		}
 		if !r.mayRetry(ctx, last) {
