--- a/root/traffic/frontdoor/guard.go
+++ b/root/traffic/frontdoor/guard.go
@@ -48,8 +48,8 @@
 
 // Estimated memory of a parsed head, for net/http, the copies that are forwarded and the
 // garbage of growing maps. In net/http alone, lines of six bytes with names of their own take
-// 94 bytes each and allocate 151 (2,667 lines, Go 1.26). An element of a list may be decoded
-// too; its cost is not measured.
+// 94 bytes each and allocate 151. An element of a list, such as a prompt segment, may be
+// decoded too.
 const (
 	headByteCost    = 3
 	headLineCost    = 256
