--- a/root/traffic/engine/closed.go
+++ b/root/traffic/engine/closed.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 )
@@ -46,10 +45,3 @@
 	var timeout net.Error
 	return errors.Is(err, syscall.ECONNREFUSED) || Unreachable(err) || errors.As(err, &timeout) && timeout.Timeout()
 }
-
-// Unframed reports whether a response has neither a length nor chunks. Its end can't be
-// told from a connection that the server closed because it ended.
-func Unframed(resp *http.Response) bool {
-	withoutBody := resp.Request != nil && resp.Request.Method == http.MethodHead
-	return !withoutBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -211,16 +211,17 @@
 	complete bool
 }
 
-// Read implements io.Reader and records the end of the body.
+// Read implements io.Reader and records the end of a body that is whole.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err == io.EOF && Unframed(b.resp) {
+		err = b.checkOrderlyEnd()
 	}
 	var malformed textproto.ProtocolError
 	if errors.As(err, &malformed) {
 		err = errTrailerMalformed
 	}
+	b.complete = b.complete || err == io.EOF
 	return n, err
 }
 
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, the maximum time for
@@ -101,3 +103,40 @@
 	})
 	return err == nil && reusable
 }
+
+// tcpClose is the state of a TCP connection that has failed or that both sides have closed.
+const tcpClose = 7
+
+// SendState is the state of what a connection sends.
+type SendState struct {
+	// Failed is set if the connection was reset or has timed out, also if the error of that
+	// has been returned to another call.
+	Failed bool
+	// Pending is set while the peer's host has not acknowledged all bytes written.
+	Pending bool
+}
+
+// CheckSend returns the state of what a connection sends. It does not block. A connection
+// that is not TCP counts as neither failed nor pending. An error means that this process has
+// closed the connection, or that the system does not tell.
+func CheckSend(conn net.Conn) (SendState, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return SendState{}, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return SendState{}, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return SendState{}, err
+	}
+	if infoErr != nil {
+		return SendState{}, infoErr
+	}
+	return SendState{Failed: info.State == tcpClose, Pending: info.Unacked > 0 || info.Notsent_bytes > 0}, nil
+}
