--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -190,6 +190,9 @@
 		if err != nil {
 			return nil, c.limit.headError()
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
