--- a/root/traffic/engine/exchange.go
+++ b/root/traffic/engine/exchange.go
@@ -94,10 +94,21 @@
 	// heads counts the memory of large heads, of which reserved is that of this exchange.
 	heads    *readMemory
 	reserved int64
+	// head holds the bytes read since beginHead, which may extend beyond the head.
+	head []byte
 	// err is the first error of Read.
 	err error
 }
 
+// beginHead starts to read a head, of which buffered has been read already.
+func (l *limitedReader) beginHead(buffered []byte) {
+	l.bounded, l.left = true, maxHeadBytes
+	l.head = append([]byte(nil), buffered...)
+}
+
+// endHeads ends the bound on what is read, and frees the bytes of the last head.
+func (l *limitedReader) endHeads() { l.bounded, l.head = false, nil }
+
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	n, err := l.read(p)
@@ -116,6 +127,7 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.head = append(l.head, p[:n]...)
 	if l.left < maxHeadBytes-smallHeadBytes {
 		memory := int64(n) * headMemoryFactor
 		if !l.heads.reserve(memory) {
@@ -132,16 +144,18 @@
 	l.reserved = 0
 }
 
-// headError returns the error for a head that can't be read: what ended it, or else that
-// it is malformed.
-func (l *limitedReader) headError() error {
-	switch l.err {
-	case nil:
-		return errHeadMalformed
-	case io.EOF:
+// headError returns the error for a head that can't be read: what ended it, or else what is
+// malformed in the bytes read of it.
+func (l *limitedReader) headError(head []byte) error {
+	switch {
+	case l.err == io.EOF:
 		return io.ErrUnexpectedEOF
-	default:
+	case l.err != nil:
 		return l.err
+	case scanFields(head).malformedName:
+		return errFieldName
+	default:
+		return errHeadMalformed
 	}
 }
 
@@ -183,14 +197,17 @@
 
 // readOneHead reads the head of the next response that is not an interim one.
 func (c *conn) readOneHead(method string) (*http.Response, error) {
-	defer func() { c.limit.bounded = false }()
+	defer c.limit.endHeads()
 	for range maxInterimResponses {
-		c.limit.bounded, c.limit.left = true, maxHeadBytes
+		// The peeked bytes are buffered, so there is no error.
+		buffered, _ := c.r.Peek(c.r.Buffered())
+		c.limit.beginHead(buffered)
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		head := c.limit.head[:len(c.limit.head)-c.r.Buffered()]
 		if err != nil {
-			return nil, c.limit.headError()
+			return nil, c.limit.headError(head)
 		}
-		if err := checkHead(resp); err != nil {
+		if err := checkHead(resp, head); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
@@ -217,8 +234,8 @@
 // Read implements io.Reader and records the end of a body that is whole.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && Unframed(b.resp) {
-		err = b.checkOrderlyEnd()
+	if err == io.EOF {
+		err = b.checkWhole()
 	}
 	var malformed textproto.ProtocolError
 	if errors.As(err, &malformed) {
@@ -228,6 +245,17 @@
 	return n, err
 }
 
+// checkWhole returns io.EOF if a body that has ended is whole.
+func (b *responseBody) checkWhole() error {
+	if !validNames(b.resp.Trailer) {
+		return errTrailerMalformed
+	}
+	if Unframed(b.resp) {
+		return b.checkOrderlyEnd()
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. The connection is reused only if the response was read
 // completely and had an id, requestWritten reports true, the server keeps the connection
 // open, no further bytes have arrived on it, and it has carried fewer than
