--- a/root/orders/orders.go
+++ b/root/orders/orders.go
@@ -4,12 +4,10 @@
 package orders
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,7 +15,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wagtaildyke/wagtaildyke/root/control/authority"
+	"github.com/wagtaildyke/wagtaildyke/root/control/fleet"
 	"github.com/wagtaildyke/wagtaildyke/root/control/machine"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 	"github.com/wagtaildyke/wagtaildyke/supervise"
 )
 
@@ -30,12 +30,9 @@
 // Limits on sending. The request timeout is long because a role change or the load of
 // a model can take a server a while.
 const (
-	requestTimeout   = 30 * time.Second
-	minRetryBackoff  = 200 * time.Millisecond
-	maxRetryBackoff  = 3 * time.Second
-	maxResponseBytes = 1 << 20
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
+	requestTimeout  = 30 * time.Second
+	minRetryBackoff = 200 * time.Millisecond
+	maxRetryBackoff = 3 * time.Second
 	// lateEffectLimit is how long an attempt without a response may still take effect
 	// after its connection was closed.
 	lateEffectLimit = 2 * requestTimeout
@@ -48,28 +45,21 @@
 type Sender struct {
 	queue  chan machine.IssueOrder
 	onDone func(machine.OrderDone)
-	client *http.Client
-	log    logr.Logger
+	// transport reads responses as strictly as those that callers get.
+	transport *engine.Transport
+	log       logr.Logger
 }
 
 // New returns a sender. It calls onDone with the definite outcome of each order.
 func New(onDone func(machine.OrderDone), log logr.Logger) *Sender {
 	return &Sender{
-		queue:  make(chan machine.IssueOrder, queueSize),
-		onDone: onDone,
-		client: &http.Client{Timeout: requestTimeout, Transport: newTransport()},
-		log:    log,
+		queue:     make(chan machine.IssueOrder, queueSize),
+		onDone:    onDone,
+		transport: engine.NewTransport(),
+		log:       log,
 	}
 }
 
-// newTransport returns the default transport with a bound on heads, which is 10 MB
-// otherwise.
-func newTransport() *http.Transport {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.MaxResponseHeaderBytes = maxHeadBytes
-	return t
-}
-
 // Submit queues an order. It never blocks.
 func (s *Sender) Submit(o machine.IssueOrder) {
 	select {
@@ -158,12 +148,9 @@
 	if err != nil {
 		return machine.OrderDone{}, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, o.Server.Address+"/v1/orders", bytes.NewReader(body))
-	if err != nil {
-		return machine.OrderDone{}, err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	status, state, err := s.roundTrip(req)
+	status, state, err := s.roundTrip(ctx, o.Server, engine.RawRequest{
+		Method: http.MethodPost, RequestTarget: "/v1/orders", Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
+	})
 	if err != nil {
 		return machine.OrderDone{}, err
 	}
@@ -185,12 +172,9 @@
 // order's own token, a server that checks tokens rejects the order from then on. A
 // server that does not check tokens may still apply it later.
 func (s *Sender) observe(ctx context.Context, o machine.IssueOrder) (machine.OrderDone, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.Server.Address+"/v1/state", nil)
-	if err != nil {
-		return machine.OrderDone{}, err
-	}
-	req.Header.Set(FenceHeader, strconv.FormatUint(o.Fence, 10))
-	status, state, err := s.roundTrip(req)
+	status, state, err := s.roundTrip(ctx, o.Server, engine.RawRequest{
+		Method: http.MethodGet, RequestTarget: "/v1/state", Header: http.Header{FenceHeader: {strconv.FormatUint(o.Fence, 10)}},
+	})
 	if err != nil {
 		return machine.OrderDone{}, err
 	}
@@ -202,13 +186,23 @@
 	}, nil
 }
 
-func (s *Sender) roundTrip(req *http.Request) (int, State, error) {
-	resp, err := s.client.Do(req)
+// roundTrip sends a request, whose target is relative to the server's base URL, on a
+// connection of its own, and reads the response.
+func (s *Sender) roundTrip(ctx context.Context, server fleet.Server, req engine.RawRequest) (int, State, error) {
+	address, base, err := engine.ParseAddress(server)
+	if err != nil {
+		return 0, State{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	req.RequestTarget, req.Host, req.NewConnection = base.Path+req.RequestTarget, base.Host, true
+	resp, err := s.transport.Do(ctx, address, 0, req)
 	if err != nil {
 		return 0, State{}, err
 	}
+	defer s.transport.CloseIdle()
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := s.transport.ReadBody(resp.Body)
 	if err != nil {
 		return 0, State{}, err
 	}
--- a/root/traffic/engine/http.go
+++ b/root/traffic/engine/http.go
@@ -71,9 +71,22 @@
 	return newHTTPResponse(h, c, resp, cancel), nil
 }
 
+// ParseAddress returns the host:port of a server and its base URL, whose path has no slash at
+// its end.
+func ParseAddress(s fleet.Server) (address string, base *url.URL, err error) {
+	base, err = url.Parse(strings.TrimSuffix(s.Address, "/"))
+	if err != nil {
+		return "", nil, err
+	}
+	if base.Port() == "" {
+		return net.JoinHostPort(base.Hostname(), "80"), base, nil
+	}
+	return base.Host, base, nil
+}
+
 // newRequest returns the address of the server and the request for a call.
 func newRequest(s fleet.Server, c Call) (address string, req RawRequest, err error) {
-	base, err := url.Parse(strings.TrimSuffix(s.Address, "/"))
+	address, base, err := ParseAddress(s)
 	if err != nil {
 		return "", RawRequest{}, err
 	}
@@ -85,10 +98,6 @@
 	if c.ResumeAfter > 0 {
 		header.Set(lastEventIDHeader, c.RequestID+"/"+strconv.Itoa(c.ResumeAfter))
 	}
-	address = base.Host
-	if base.Port() == "" {
-		address = net.JoinHostPort(base.Hostname(), "80")
-	}
 	return address, RawRequest{
 		Method: c.Method, RequestTarget: base.Path + c.RequestTarget, Host: base.Host, Header: header, Body: c.Body,
 		ID: c.RequestID, ResponseID: func(h http.Header) string { return h.Get(RequestIDHeader) },
