--- a/cmd/wagtaildyke/client.go
+++ b/cmd/wagtaildyke/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/wagtaildyke/wagtaildyke/fault"
 	"github.com/wagtaildyke/wagtaildyke/root/operator"
+	"github.com/wagtaildyke/wagtaildyke/root/traffic/engine"
 )
 
 // clientTimeout bounds one operator's request; a change of the table waits
@@ -98,7 +99,11 @@
 		return reply{}, noAnswer(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if engine.Unframed(resp) {
+		// Daemons send a length or chunks, so the head or the connection is broken.
+		return reply{}, fault.New(fault.Unavailable, part, "the answer has no length and may be cut")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReplyBytes))
 	if err != nil {
 		return reply{}, fault.Wrap(err, fault.Unavailable, part, "the answer was cut")
 	}
