--- a/root/traffic/engine/head.go
+++ b/root/traffic/engine/head.go
@@ -19,13 +19,13 @@
 // maxStatus is the highest status of the protocol.
 const maxStatus = 599
 
-// checkHead returns an error if the head of a response, parsed by net/http from the given
-// bytes, is one that net/http accepts and that has no certain meaning. net/http skips fields
-// whose name contains a blank, so a length or chunks are lost with them, and it ignores
-// framing fields that contradict each other.
+// checkHead returns an error if the head of a response, which net/http has parsed from the
+// given bytes, breaks the grammar in a way that net/http accepts. It accepts any status of
+// three digits, does not recognize fields whose name contains a blank, so that a length or
+// chunks are lost, and drops one of two framing fields that contradict each other.
 func checkHead(resp *http.Response, head []byte) error {
 	fields := scanFields(head)
-	interim := resp.StatusCode < http.StatusOK
+	bodiless := resp.StatusCode < http.StatusOK || resp.StatusCode == http.StatusNoContent
 	switch {
 	case resp.ProtoMajor != 1 || strings.ContainsFunc(resp.Status, isControl):
 		return errStatusLine
@@ -35,9 +35,9 @@
 		return errSwitched
 	case fields.malformedName:
 		return errFieldName
-	case fields.encoded && (interim || fields.length || !resp.ProtoAtLeast(1, 1)):
+	case fields.encoded && (bodiless || fields.length || !resp.ProtoAtLeast(1, 1)):
 		return errFramingFields
-	case interim && fields.length && resp.Header.Get("Content-Length") != "0":
+	case bodiless && fields.length && resp.Header.Get("Content-Length") != "0":
 		return errFramingFields
 	default:
 		return nil
--- a/root/traffic/engine/head_test.go
+++ b/root/traffic/engine/head_test.go
@@ -39,6 +39,8 @@
 		"HTTP/1.1 103 Hints\r\ntext x: y\r\n\r\n" + second:                                                            ".* field name",
 		"HTTP/1.1 103 Hints\r\nContent-Length: 80\r\n\r\n" + second:                                                   ".* framing fields .*",
 		"HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + second:                                           ".* framing fields .*",
+		"HTTP/1.1 204 No Content\r\nId: one\r\nContent-Length: 4\r\n\r\nbody":                                         ".* framing fields .*",
+		"HTTP/1.1 204 No Content\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n":              ".* framing fields .*",
 		"HTTP/1.0 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n":                               ".* framing fields .*",
 		"HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n": ".* framing fields .*",
 		"HTTP/1.1 200 OK\r\nId: one\r\ntext: a\x01b\r\nContent-Length: 4\r\n\r\nbody":                                 ".* malformed",
@@ -54,6 +56,20 @@
 	}
 }
 
+// TestLengthOfZeroWithoutABodyIsSound covers responses without a body that say so twice.
+func TestLengthOfZeroWithoutABodyIsSound(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 204 No Content\r\nId: one\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No Content\r\nId: one\r\n\r\n",
+	} {
+		c := qt.New(t)
+		address, _ := listen(t, respondInTurn(text))
+		body, err := fetch(t, engine.NewTransport(), address, identified("one"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "")
+	}
+}
+
 // TestMalformedTrailerIsAnError guards against names in a trailer that net/http accepts.
 func TestMalformedTrailerIsAnError(t *testing.T) {
 	for _, trailer := range []string{"text x: y", "text : y", "te\x01xt: y"} {
